Set the module boundaries, the pure core's interfaces and the seeded driver

The core's parts have their events and actions, thin bodies and one node that wires them, so that daemons and randomised runs drive the same code. Before: no code. Conclusion: modules can be filled in apart from each other.

--- /dev/null
+++ b/src/bin/teaselchute.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/teaselchuted.rs
@@ -0,0 +1,3 @@
+//! The daemon of an entry host.
+
+fn main() {}
--- /dev/null
+++ b/src/core/call/mod.rs
@@ -0,0 +1,102 @@
+//! Calls: one attempt of one stage or service request on one backend server.
+
+use std::sync::Arc;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Identity of a request: the organisation and the id that its caller chose.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Request {
+    /// Who asks.
+    pub organisation: Name,
+    /// The caller's id, unique within the organisation.
+    pub id: Name,
+}
+
+/// Number of a call, unique within one life of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id(pub u64);
+
+/// Bytes of a request or an answer.
+pub type Body = Arc<[u8]>;
+
+/// One attempt to run one stage or service request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Number of the call.
+    pub id: Id,
+    /// The request that it serves.
+    pub request: Request,
+    /// Index of the stage, 0 for services.
+    pub stage: usize,
+    /// Name of the pipeline or service.
+    pub pipeline: Name,
+    /// Pool that runs it.
+    pub pool: Name,
+    /// Model that runs it.
+    pub model: Option<Name>,
+    /// Count of attempts before this one.
+    pub attempt: u32,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Priority, 0 is the most urgent.
+    pub priority: u8,
+    /// When the whole answer is due.
+    pub deadline: Instant,
+    /// Whether an answer is wanted after the deadline.
+    pub late_answer_wanted: bool,
+    /// Hash of the prompt's prefix, 0 where there is none.
+    pub prefix: u64,
+    /// Servers that failed this stage of this request before.
+    pub avoid: Vec<Name>,
+    /// Number of pieces of the stream that the caller has already.
+    pub resume_from: u64,
+    /// The request's body.
+    pub body: Body,
+    /// The result of the stage before.
+    pub previous: Option<Body>,
+}
+
+/// Identity of one life of a backend server, as its replies and load reports tell it.
+///
+/// A new start means that the server is cold.
+pub type Start = u64;
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer came, with its end seen. For streams the body is empty: the pieces came
+    /// before.
+    Answered(Body),
+    /// The server refused the call before it ran.
+    Refused,
+    /// The server answered that the call failed.
+    Failed,
+    /// The call was surely never handed to the server.
+    NotSent,
+    /// The connection ended or fell silent after the call was sent: it may have run.
+    Lost,
+    /// The call was cancelled on the server.
+    Cancelled,
+}
+
+/// What a backend server says of its load. It comes late and may be lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Which life of the server this is.
+    pub start: Start,
+    /// Rises with each report of one life.
+    pub sequence: u64,
+    /// Calls that run.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+}
--- /dev/null
+++ b/src/core/node/control.rs
@@ -0,0 +1,216 @@
+//! The control part: replica, membership, roster and controllers under one lock.
+
+use std::sync::Arc;
+
+use super::{
+    Action,
+    Policies, //
+};
+use crate::{
+    core::{
+        document::Document,
+        host,
+        log,
+        membership::{
+            self,
+            Membership, //
+        },
+        orders::{
+            self,
+            Controller, //
+        },
+        replica::{
+            self,
+            Replica, //
+        },
+        state::Record,
+        view::View, //
+    },
+    names::Name,
+    time::Instant,
+    wire::Message,
+};
+
+/// What the control part is told.
+pub(super) enum Event {
+    Tick,
+    Log(log::Event),
+    HostList(Vec<membership::Listed>),
+    Membership {
+        from: host::Host,
+        message: membership::Message,
+    },
+    Replica {
+        from: host::Id,
+        message: replica::Message,
+    },
+    Engine(orders::Event),
+    Propose {
+        asker: replica::Asker,
+        record: Box<Record>,
+    },
+    Shrunk(u64),
+    Leave,
+}
+
+/// Replica, membership and controllers of one host.
+pub struct Control {
+    own: host::Host,
+    environment: Name,
+    replica: Replica,
+    membership: Membership,
+    controller: Controller,
+    leaving: bool,
+    changed: bool,
+}
+
+impl Control {
+    pub(super) fn new(own: host::Host, environment: Name, policies: Policies, seed: u64) -> Self {
+        let id = own.id.clone();
+        Self {
+            replica: Replica::new(id.clone(), policies.replica, seed),
+            membership: Membership::new(own.clone(), policies.membership, seed),
+            controller: Controller::new(id, seed),
+            own,
+            environment,
+            leaving: false,
+            changed: false,
+        }
+    }
+
+    /// Returns this host's copy of the agreed state.
+    pub fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns what this host knows of others.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns the controller of engines.
+    pub fn controller(&self) -> &Controller {
+        &self.controller
+    }
+
+    /// Returns the view, where a step changed it.
+    pub(super) fn take_view(&mut self) -> Option<View> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.then(|| self.view())
+    }
+
+    pub(super) fn view(&self) -> View {
+        let state = self.replica.state();
+        let document = match state.environments.get(&self.environment) {
+            Some(environment) => environment.document.clone(),
+            None => Document::default(),
+        };
+        View {
+            own: self.own.clone(),
+            serving: self.replica.is_current(),
+            leaving: self.leaving,
+            document: Arc::new(document),
+            position: self.replica.position(),
+            fresh_at: self.replica.fresh_at(),
+            drained: state.drained.keys().cloned().collect(),
+            roster: state.roster.clone(),
+            previous_roster: state.previous_roster.clone(),
+            members: self.membership.members().to_vec(),
+        }
+    }
+
+    pub(super) fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.changed = true;
+        match event {
+            Event::Tick => {
+                self.step_membership(now, membership::Event::Tick, &mut out);
+                let members = self.membership.members().to_vec();
+                self.step_replica(now, replica::Event::Members(members), &mut out);
+                self.step_replica(now, replica::Event::Tick, &mut out);
+                self.step_controller(now, orders::Event::Tick, &mut out);
+            }
+            Event::Log(event) => self.step_replica(now, replica::Event::Log(event), &mut out),
+            Event::HostList(list) => {
+                self.step_membership(now, membership::Event::HostList(list), &mut out);
+            }
+            Event::Membership { from, message } => {
+                let event = membership::Event::Message { from, message };
+                self.step_membership(now, event, &mut out);
+            }
+            Event::Replica { from, message } => {
+                self.step_replica(now, replica::Event::Message { from, message }, &mut out);
+            }
+            Event::Engine(event) => self.step_controller(now, event, &mut out),
+            Event::Propose { asker, record } => {
+                let event = replica::Event::Propose {
+                    asker: Some(asker),
+                    record: *record,
+                };
+                self.step_replica(now, event, &mut out);
+            }
+            Event::Shrunk(epoch) => {
+                self.step_membership(now, membership::Event::RosterSeen(epoch), &mut out);
+            }
+            Event::Leave => {
+                self.leaving = true;
+                self.step_membership(now, membership::Event::Leave, &mut out);
+            }
+        }
+        out
+    }
+
+    fn step_replica(&mut self, now: Instant, event: replica::Event, out: &mut Vec<Action>) {
+        for action in self.replica.step(now, event) {
+            match action {
+                replica::Action::Log(action) => out.push(Action::Log(action)),
+                replica::Action::Send { to, message } => {
+                    let members = self.membership.members();
+                    if let Some(member) = members.iter().find(|member| member.host.id == to) {
+                        out.push(Action::Frame {
+                            to: Box::new(member.host.clone()),
+                            message: Box::new(Message::Replica(message)),
+                        });
+                    }
+                }
+                replica::Action::Answer { asker, answer } => {
+                    out.push(Action::Proposed { asker, answer });
+                }
+                replica::Action::Decide(decision) => out.push(Action::Decide(decision)),
+            }
+        }
+    }
+
+    fn step_membership(&mut self, now: Instant, event: membership::Event, out: &mut Vec<Action>) {
+        for action in self.membership.step(now, event) {
+            match action {
+                membership::Action::Send { to, message } => out.push(Action::Frame {
+                    to: Box::new(to),
+                    message: Box::new(Message::Membership(message)),
+                }),
+                membership::Action::Decide(decision) => out.push(Action::Decide(decision)),
+            }
+        }
+    }
+
+    fn step_controller(&mut self, now: Instant, event: orders::Event, out: &mut Vec<Action>) {
+        let view = self.view();
+        let claims = &self.replica.state().claims;
+        for action in self.controller.step(now, &view, claims, event) {
+            match action {
+                orders::Action::Order(order) => out.push(Action::Order(order)),
+                orders::Action::Read { pool, server } => {
+                    out.push(Action::ReadEngine { pool, server });
+                }
+                orders::Action::Claim(claim) => {
+                    let event = replica::Event::Propose {
+                        asker: None,
+                        record: Record::Claim(claim),
+                    };
+                    self.step_replica(now, event, out);
+                }
+                orders::Action::Decide(decision) => out.push(Action::Decide(decision)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/node/mod.rs
@@ -0,0 +1,442 @@
+//! All parts of one host, wired together. Daemons, randomised runs and benches drive this.
+//!
+//! Control state stands under one lock, each pool under its own, and requests in shards under
+//! theirs. A step takes one lock at a time, so that no order of locks is needed.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use parking_lot::{
+    Mutex,
+    RwLock, //
+};
+
+use crate::{
+    core::{
+        call::{
+            self,
+            Body,
+            Call,
+            End,
+            Start, //
+        },
+        decision::Decision,
+        host,
+        log,
+        membership,
+        orders,
+        outcome,
+        replica,
+        routing,
+        state::Record,
+        view::View, //
+    },
+    names::Name,
+    time::Instant,
+    wire::{
+        Frame,
+        Message, //
+    },
+};
+
+mod control;
+
+pub use control::Control;
+
+/// Number of shards of requests.
+const LEDGER_SHARDS: u64 = 8;
+
+/// What a node is told by the world.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed. Comes every [`TICK_MS`].
+    Tick,
+    /// An authenticated frame of another host came.
+    Frame(Box<Frame>),
+    /// The log answered.
+    Log(log::Event),
+    /// The platform's host list was read.
+    HostList(Vec<membership::Listed>),
+    /// A caller asks, fetches or hangs up.
+    Caller(outcome::Event),
+    /// A piece of a stream came from a server.
+    Piece {
+        /// The call.
+        call: call::Id,
+        /// The call's pool.
+        pool: Name,
+        /// The life of the server, where it told it.
+        start: Option<Start>,
+        /// Index of the piece, counted from 0 for the whole answer.
+        index: u64,
+        /// The piece.
+        piece: Body,
+    },
+    /// A call that was sent has ended.
+    Ended {
+        /// The call.
+        call: call::Id,
+        /// The call's pool.
+        pool: Name,
+        /// The server.
+        server: Name,
+        /// The life of the server, where it told it.
+        start: Option<Start>,
+        /// How it ended.
+        end: End,
+    },
+    /// A server reported its load or its cache.
+    Server {
+        /// The server's pool.
+        pool: Name,
+        /// What it reported.
+        event: routing::Event,
+    },
+    /// An engine was read back, or answered an order.
+    Engine(orders::Event),
+    /// Somebody proposes a record.
+    Propose {
+        /// Who waits for the verdict.
+        asker: replica::Asker,
+        /// The record.
+        record: Box<Record>,
+    },
+    /// The host leaves.
+    Leave,
+}
+
+/// Time between two ticks, in milliseconds.
+pub const TICK_MS: u64 = 50;
+
+/// What a node wants done in the world.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a frame to another host.
+    Frame {
+        /// Where to, with its addresses.
+        to: Box<host::Host>,
+        /// What.
+        message: Box<Message>,
+    },
+    /// Ask the log.
+    Log(log::Action),
+    /// Send a call to a server.
+    Send {
+        /// The call.
+        call: Box<Call>,
+        /// The server.
+        server: Name,
+    },
+    /// Cancel a call on a server.
+    Abort {
+        /// The call.
+        call: call::Id,
+        /// Its pool.
+        pool: Name,
+        /// The server.
+        server: Name,
+    },
+    /// Give a caller a piece, an answer or a refusal.
+    Caller(outcome::Action),
+    /// Answer a proposal.
+    Proposed {
+        /// Who waits.
+        asker: replica::Asker,
+        /// The answer.
+        answer: replica::Answer,
+    },
+    /// Give an order to an engine.
+    Order(orders::Order),
+    /// Read an engine's report.
+    ReadEngine {
+        /// Its pool.
+        pool: Name,
+        /// The engine.
+        server: Name,
+    },
+    /// Log a decision and keep it for `why`.
+    Decide(Decision),
+}
+
+/// Which policies a node follows. The defaults are ours, others are baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Policies {
+    /// How servers are chosen.
+    pub routing: routing::policy::Policy,
+    /// How news of the state comes.
+    pub replica: replica::Policy,
+    /// How news of hosts comes.
+    pub membership: membership::Policy,
+}
+
+/// All parts of one host.
+pub struct Node {
+    own: host::Host,
+    policies: Policies,
+    seed: u64,
+    control: Mutex<Control>,
+    view: RwLock<Arc<View>>,
+    pools: RwLock<BTreeMap<Name, Arc<Mutex<routing::Pool>>>>,
+    ledgers: Vec<Mutex<outcome::ledger::Ledger>>,
+}
+
+impl Node {
+    /// Makes a node that knows nothing of the world yet. The seed feeds all its random choices.
+    pub fn new(own: host::Host, environment: Name, policies: Policies, seed: u64) -> Self {
+        let control = Control::new(own.clone(), environment, policies, seed);
+        let view = RwLock::new(Arc::new(control.view()));
+        let ledgers = (0..LEDGER_SHARDS)
+            .map(|shard| Mutex::new(outcome::ledger::Ledger::new(shard, LEDGER_SHARDS)))
+            .collect();
+        Self {
+            own,
+            policies,
+            seed,
+            control: Mutex::new(control),
+            view,
+            pools: RwLock::new(BTreeMap::new()),
+            ledgers,
+        }
+    }
+
+    /// Returns who this host is.
+    pub fn own(&self) -> &host::Host {
+        &self.own
+    }
+
+    /// Returns what the control part knows now.
+    pub fn view(&self) -> Arc<View> {
+        self.view.read().clone()
+    }
+
+    /// Runs a closure on the control part, for status pages.
+    pub fn with_control<T>(&self, read: impl FnOnce(&Control) -> T) -> T {
+        read(&self.control.lock())
+    }
+
+    /// Takes one event and returns what follows from it in the world.
+    pub fn step(&self, now: Instant, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Frame(frame) => self.frame(now, *frame, &mut out),
+            Event::Log(event) => self.control(now, control::Event::Log(event), &mut out),
+            Event::HostList(list) => self.control(now, control::Event::HostList(list), &mut out),
+            Event::Engine(event) => self.control(now, control::Event::Engine(event), &mut out),
+            Event::Leave => self.control(now, control::Event::Leave, &mut out),
+            Event::Propose { asker, record } => {
+                let event = control::Event::Propose { asker, record };
+                self.control(now, event, &mut out);
+            }
+            Event::Caller(event) => self.caller(now, event, &mut out),
+            Event::Server { pool, event } => self.pool(now, &pool, event, &mut out),
+            Event::Piece {
+                call,
+                pool,
+                start,
+                index,
+                piece,
+            } => {
+                self.pool(
+                    now,
+                    &pool,
+                    routing::Event::Progress { call, start },
+                    &mut out,
+                );
+                let event = outcome::Event::Piece { call, index, piece };
+                self.ledger(now, shard_of_call(call), event, &mut out);
+            }
+            Event::Ended {
+                call,
+                pool,
+                server,
+                start,
+                end,
+            } => {
+                let ended = routing::Event::Ended {
+                    call,
+                    server,
+                    start,
+                    end: end.clone(),
+                };
+                self.pool(now, &pool, ended, &mut out);
+                let event = outcome::Event::Ended { call, end };
+                self.ledger(now, shard_of_call(call), event, &mut out);
+            }
+        }
+        out
+    }
+
+    fn tick(&self, now: Instant, out: &mut Vec<Action>) {
+        self.control(now, control::Event::Tick, out);
+        let pools: Vec<Name> = self.pools.read().keys().cloned().collect();
+        for pool in &pools {
+            self.pool(now, pool, routing::Event::Tick, out);
+        }
+        for shard in 0..self.ledgers.len() {
+            self.ledger(now, shard, outcome::Event::Tick, out);
+        }
+        self.tell_shrunk(now, out);
+    }
+
+    /// Tells membership once all pools fit their shares under the newest roster.
+    fn tell_shrunk(&self, now: Instant, out: &mut Vec<Action>) {
+        let view = self.view();
+        let pools: Vec<_> = self.pools.read().values().cloned().collect();
+        let shrunk = pools.iter().all(|pool| pool.lock().has_shrunk(&view));
+        if shrunk {
+            self.control(now, control::Event::Shrunk(view.roster.epoch), out);
+        }
+    }
+
+    fn frame(&self, now: Instant, frame: Frame, out: &mut Vec<Action>) {
+        if frame.to != self.own.id {
+            return;
+        }
+        match frame.message {
+            Message::Membership(message) => {
+                let from = frame.from;
+                self.control(now, control::Event::Membership { from, message }, out);
+            }
+            Message::Replica(message) => {
+                let from = frame.from.id;
+                self.control(now, control::Event::Replica { from, message }, out);
+            }
+            Message::Outcome(message) => {
+                let shard = shard_of_message(&message);
+                let from = frame.from.id;
+                self.ledger(now, shard, outcome::Event::Message { from, message }, out);
+            }
+            Message::Cold(pool, server, start) => {
+                self.pool(
+                    now,
+                    &pool,
+                    routing::Event::ColdNotice { server, start },
+                    out,
+                );
+            }
+        }
+    }
+
+    fn caller(&self, now: Instant, event: outcome::Event, out: &mut Vec<Action>) {
+        match &event {
+            outcome::Event::Ask { ask, .. } => {
+                let shard = shard_of_request(&ask.request);
+                self.ledger(now, shard, event, out);
+            }
+            outcome::Event::Fetch { request, .. } => {
+                let shard = shard_of_request(request);
+                self.ledger(now, shard, event, out);
+            }
+            // The shard of a caller who hung up isn't known, and the others ignore it.
+            _ => {
+                for shard in 0..self.ledgers.len() {
+                    self.ledger(now, shard, event.clone(), out);
+                }
+            }
+        }
+    }
+
+    fn control(&self, now: Instant, event: control::Event, out: &mut Vec<Action>) {
+        let view = {
+            let mut control = self.control.lock();
+            out.extend(control.step(now, event));
+            control.take_view()
+        };
+        if let Some(view) = view {
+            *self.view.write() = Arc::new(view);
+        }
+    }
+
+    fn pool(&self, now: Instant, name: &Name, event: routing::Event, out: &mut Vec<Action>) {
+        let view = self.view();
+        let pool = self.pool_or_new(name);
+        let actions = pool.lock().step(now, &view, event);
+        for action in actions {
+            match action {
+                routing::Action::Send { call, server } => out.push(Action::Send {
+                    call: Box::new(call),
+                    server,
+                }),
+                routing::Action::Abort { call, server } => out.push(Action::Abort {
+                    call,
+                    pool: name.clone(),
+                    server,
+                }),
+                routing::Action::Refuse { call, refusal } => {
+                    let event = outcome::Event::Refused { call, refusal };
+                    self.ledger(now, shard_of_call(call), event, out);
+                }
+                routing::Action::TellCold { server, start } => {
+                    tell_cold(&view, name, &server, start, out);
+                }
+                routing::Action::Decide(decision) => out.push(Action::Decide(decision)),
+            }
+        }
+    }
+
+    fn pool_or_new(&self, name: &Name) -> Arc<Mutex<routing::Pool>> {
+        if let Some(pool) = self.pools.read().get(name) {
+            return pool.clone();
+        }
+        let mut pools = self.pools.write();
+        let pool = pools.entry(name.clone()).or_insert_with(|| {
+            let pool = routing::Pool::new(name.clone(), self.policies.routing, self.seed);
+            Arc::new(Mutex::new(pool))
+        });
+        pool.clone()
+    }
+
+    fn ledger(&self, now: Instant, shard: usize, event: outcome::Event, out: &mut Vec<Action>) {
+        let view = self.view();
+        let actions = self.ledgers[shard].lock().step(now, &view, event);
+        for action in actions {
+            match action {
+                outcome::Action::Offer(call) => {
+                    let pool = call.pool.clone();
+                    self.pool(now, &pool, routing::Event::Offer(call), out);
+                }
+                outcome::Action::Cancel { call, pool } => {
+                    self.pool(now, &pool, routing::Event::Cancel(call), out);
+                }
+                outcome::Action::Send { to, message } => {
+                    if let Some(member) = view.member(&to) {
+                        out.push(Action::Frame {
+                            to: Box::new(member.host.clone()),
+                            message: Box::new(Message::Outcome(message)),
+                        });
+                    }
+                }
+                outcome::Action::Decide(decision) => out.push(Action::Decide(decision)),
+                action => out.push(Action::Caller(action)),
+            }
+        }
+    }
+}
+
+fn tell_cold(view: &View, pool: &Name, server: &Name, start: Start, out: &mut Vec<Action>) {
+    for member in &view.members {
+        out.push(Action::Frame {
+            to: Box::new(member.host.clone()),
+            message: Box::new(Message::Cold(pool.clone(), server.clone(), start)),
+        });
+    }
+}
+
+fn shard_of_call(call: call::Id) -> usize {
+    (call.0 % LEDGER_SHARDS) as usize
+}
+
+fn shard_of_request(request: &call::Request) -> usize {
+    let hash = xxhash_rust::xxh3::xxh3_64(request.id.as_bytes());
+    (hash % LEDGER_SHARDS) as usize
+}
+
+fn shard_of_message(message: &outcome::Message) -> usize {
+    match message.request() {
+        Some(request) => shard_of_request(request),
+        None => 0,
+    }
+}
--- /dev/null
+++ b/src/core/placement/mod.rs
@@ -0,0 +1,3 @@
+//! Placement of models on engines, from damped demand.
+//!
+//! See `docs/placement-design.md`.
--- /dev/null
+++ b/src/options/mod.rs
@@ -0,0 +1,1 @@
+//! Options: command line and settings, merged into one struct.
--- /dev/null
+++ b/src/shell/mod.rs
@@ -0,0 +1,1 @@
+//! Sockets, clocks and threads around the core.
--- /dev/null
+++ b/tests/core/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the pure core, one module for each module of the core.
+
+mod time;
