Bind the ids of non-idempotent requests to one ticket

Cause: a caller that asks under two tickets for the same id would have it run at two homes, and no witness of either could know.

The generation of a ticket comes from the witness's own clock by way of its news (Member.generation), so that a witness forgets whole generations and no two clocks are compared.

--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -257,12 +257,12 @@
             } => {
                 let ended = routing::Event::Ended {
                     call,
-                    server,
+                    server: server.clone(),
                     start,
                     end: end.clone(),
                 };
                 self.pool(now, &pool, ended, &mut out);
-                let event = outcome::Event::Ended { call, end };
+                let event = outcome::Event::Ended { call, server, end };
                 self.ledger(now, shard_of_call(call), event, &mut out);
             }
         }
--- a/src/core/outcome/ledger.rs
+++ b/src/core/outcome/ledger.rs
@@ -77,7 +77,7 @@
                 index,
                 piece, //
             } => self.piece(call, index, &piece),
-            Event::Ended { call, end } => self.ended(view, call, end),
+            Event::Ended { call, end, .. } => self.ended(view, call, end),
             Event::Refused { call, refusal } => self.refused(call, refusal),
             _ => Vec::new(),
         }
--- a/src/core/outcome/mod.rs
+++ b/src/core/outcome/mod.rs
@@ -24,26 +24,16 @@
 };
 
 pub mod ledger;
+pub mod ticket;
+
+pub use ticket::Ticket;
 
 /// Who waits for an answer on this host: the shell's number for the open exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Caller(pub u64);
 
-/// Names the host that alone may run a request, and its witness.
-///
-/// Callers get it with the address answer and send it with each non-idempotent request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ticket {
-    /// The host that runs the request.
-    pub home: host::Id,
-    /// The host that must acknowledge before the call is sent.
-    pub witness: host::Id,
-    /// Generation of the witness's memory, which it forgets as a whole.
-    pub generation: u64,
-}
-
 /// What is asked for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Subject {
     /// A pipeline by name.
     Pipeline(Name),
@@ -52,7 +42,7 @@
 }
 
 /// A request as it came from a caller, parsed and authorised.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
     /// Its identity.
     pub request: Request,
@@ -68,6 +58,9 @@
     pub prefix: u64,
     /// Number of pieces of the answer that the caller has already.
     pub resume_from: u64,
+    /// Whether the caller has sent this request before, here or to another host. A kept answer or
+    /// stage result of the first try is then looked for.
+    pub retried: bool,
     /// The body.
     pub body: Body,
 }
@@ -115,6 +108,8 @@
     Ended {
         /// The call.
         call: call::Id,
+        /// The server that had it.
+        server: Name,
         /// How.
         end: End,
     },
--- a/src/core/view/mod.rs
+++ b/src/core/view/mod.rs
@@ -42,6 +42,11 @@
     pub health: Health,
     /// Epoch of the newest roster to which it has shrunk its calls.
     pub roster_seen: u64,
+    /// Newest generation of tickets that it told: [`outcome::ticket::generation`] on its own
+    /// clock, carried with each piece of its own news.
+    ///
+    /// [`outcome::ticket::generation`]: crate::core::outcome::ticket::generation
+    pub generation: u64,
 }
 
 /// What the control part knows at one moment.
