Add whole nodes under the seeded driver, with fakes at the interfaces

Cause: randomised runs and measurements need all parts together, and the promises checked in one place. Conclusion: parts can land under it one by one.

--- a/examples/driver/mod.rs
+++ b/examples/driver/mod.rs
@@ -5,6 +5,8 @@
 #![allow(dead_code, reason = "each example uses its own part of the driver")]
 
 pub mod log;
+pub mod server;
+pub mod world;
 
 use std::{
     cmp::Reverse,
--- /dev/null
+++ b/examples/driver/world/callers.rs
@@ -0,0 +1,431 @@
+//! Callers: they ask, wait, retry at another host under the same id and ticket, and check answers.
+
+use std::collections::BTreeMap;
+
+use teaselchute::{
+    core::{
+        call::{
+            Body,
+            Request, //
+        },
+        node,
+        outcome::{
+            self,
+            Ask,
+            Subject,
+            Ticket, //
+        },
+        refusal::{
+            Refusal,
+            Remedy,
+            Run, //
+        },
+    },
+    names::Name,
+    time::Instant,
+};
+
+use super::{
+    World,
+    document, //
+};
+use crate::driver::Process;
+
+/// Times that a caller asks under one id at the most.
+const ATTEMPTS: u32 = 4;
+
+/// Time beyond the deadline after which a caller asks elsewhere, in milliseconds.
+const PATIENCE_MS: u64 = 1_500;
+
+/// Something that a caller does or meets.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A new request comes up.
+    Arrive,
+    /// An exchange took too long.
+    TimedOut(u64),
+    /// The connection of an exchange was reset.
+    Reset(u64),
+    /// A host gave a piece, an answer or a refusal.
+    Given(Box<outcome::Action>),
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// The whole answer came, this long after the first ask, in milliseconds.
+    Answered(u64),
+    /// It did not run and never will.
+    NotRun(Refusal),
+    /// It may have run.
+    MayHaveRun(Refusal),
+    /// No host gave a word in all attempts.
+    Silence,
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Its identity.
+    pub request: Request,
+    /// Pipeline or service.
+    pub subject: Name,
+    /// Whether it may not run twice.
+    pub order: bool,
+    /// Priority that it asks for.
+    pub priority: Option<u8>,
+    /// When it was first asked.
+    pub since: Instant,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// How it ended.
+    pub word: Option<Word>,
+    process: Process,
+    ticket: Option<Ticket>,
+    pieces: BTreeMap<u64, Body>,
+}
+
+/// An exchange that is open at a host.
+struct Exchange {
+    asked: usize,
+    host: Process,
+    silent: bool,
+    last_delivery: Instant,
+}
+
+/// All callers.
+#[derive(Default)]
+pub struct Callers {
+    /// Their requests, in the order of their arrival.
+    pub asked: Vec<Asked>,
+    /// Chance in a thousand that an exchange falls silent after it was opened.
+    pub silent_permille: u64,
+    exchanges: BTreeMap<u64, Exchange>,
+    next_exchange: u64,
+}
+
+impl World {
+    pub(super) fn caller(&mut self, process: Process, event: Event) {
+        match event {
+            Event::Arrive => self.caller_arrives(process),
+            Event::TimedOut(exchange) => {
+                if self.callers.exchanges.contains_key(&exchange) {
+                    self.hang_up(exchange);
+                    self.ask_again(exchange);
+                }
+            }
+            Event::Reset(exchange) => self.ask_again(exchange),
+            Event::Given(action) => self.caller_given(*action),
+        }
+    }
+
+    fn caller_arrives(&mut self, process: Process) {
+        if self.quiet {
+            return;
+        }
+        let processes = self.callers_process.len() as u64;
+        let mean_us = self.plan.request_every_us * processes;
+        let next_us = self.driver.draw(2 * mean_us);
+        self.driver
+            .put(next_us.div_ceil(1_000), process, Event::arrive());
+        let number = self.callers.asked.len();
+        let order = self.driver.chance(self.plan.orders_permille);
+        let organisation = self.driver.draw(self.plan.document.organisations as u64) as usize;
+        let subject = if order {
+            document::ORDER
+        } else {
+            document::PIPELINE
+        };
+        self.callers.asked.push(Asked {
+            request: Request {
+                organisation: document::organisation_name(organisation),
+                id: Name::from(format!("request-{number}")),
+            },
+            subject: Name::from(subject),
+            order,
+            priority: None,
+            since: self.driver.now(),
+            attempts: 0,
+            word: None,
+            process,
+            ticket: None,
+            pieces: BTreeMap::new(),
+        });
+        self.ask(number, None);
+    }
+
+    /// Asks a host, another than the one to be avoided where there is one.
+    fn ask(&mut self, number: usize, avoid: Option<Process>) {
+        let Some(host) = self.choose_host(self.callers.asked[number].process, avoid) else {
+            return self.finish(number, Word::Silence);
+        };
+        if self.callers.asked[number].order && self.callers.asked[number].ticket.is_none() {
+            self.callers.asked[number].ticket = self.ticket(host);
+        }
+        self.callers.asked[number].attempts += 1;
+        let exchange = self.callers.next_exchange;
+        self.callers.next_exchange += 1;
+        let silent = self.driver.chance(self.callers.silent_permille);
+        if silent {
+            self.driver.count("silent_connection");
+        }
+        self.callers.exchanges.insert(
+            exchange,
+            Exchange {
+                asked: number,
+                host,
+                silent,
+                last_delivery: self.driver.now(),
+            },
+        );
+        let asked = &self.callers.asked[number];
+        let process = asked.process;
+        let event = node::Event::Caller(outcome::Event::Ask {
+            caller: outcome::Caller(exchange),
+            ask: Box::new(asked.ask()),
+        });
+        let patience_ms = self.plan.document.deadline_ms + PATIENCE_MS;
+        self.driver
+            .put(patience_ms, process, Event::TimedOut(exchange).into());
+        self.send_surely(process, host, event);
+    }
+
+    /// Sends over a connection: no loss and no doubling, but nothing gets through a cut.
+    fn send_surely(&mut self, from: Process, host: Process, event: node::Event) {
+        if self.driver.is_cut(from, host) {
+            return;
+        }
+        let delay_ms = self.driver.delay_ms(from, host);
+        let event = super::Event::Node(Box::new(event));
+        self.driver.put(delay_ms, host, event);
+    }
+
+    fn choose_host(&mut self, from: Process, avoid: Option<Process>) -> Option<Process> {
+        let mut hosts = self.up();
+        hosts.retain(|host| !self.leaving.contains(host) && Some(*host) != avoid);
+        let region = self.driver.place(from).region;
+        let near: Vec<Process> = hosts
+            .iter()
+            .copied()
+            .filter(|host| self.driver.place(*host).region == region)
+            .collect();
+        let hosts = if near.is_empty() || avoid.is_some() {
+            hosts
+        } else {
+            near
+        };
+        let index = self.driver.draw(hosts.len() as u64) as usize;
+        hosts.get(index).copied()
+    }
+
+    fn hang_up(&mut self, exchange: u64) {
+        let Some(open) = self.callers.exchanges.get(&exchange) else {
+            return;
+        };
+        let from = self.callers.asked[open.asked].process;
+        let host = open.host;
+        let event = node::Event::Caller(outcome::Event::CallerGone(outcome::Caller(exchange)));
+        self.send_surely(from, host, event);
+    }
+
+    fn ask_again(&mut self, exchange: u64) {
+        let Some(open) = self.callers.exchanges.remove(&exchange) else {
+            return;
+        };
+        let asked = &self.callers.asked[open.asked];
+        if asked.word.is_some() {
+            return;
+        }
+        if asked.attempts >= ATTEMPTS {
+            return self.finish(open.asked, Word::Silence);
+        }
+        self.ask(open.asked, Some(open.host));
+    }
+
+    /// Brings what a host gives to its caller, in order, unless the connection is silent.
+    pub(super) fn answer_caller(&mut self, host: Process, action: outcome::Action) {
+        let Some(exchange) = exchange_of(&action) else {
+            return;
+        };
+        let Some(open) = self.callers.exchanges.get(&exchange) else {
+            return;
+        };
+        if open.silent {
+            return;
+        }
+        let caller = self.callers.asked[open.asked].process;
+        if self.driver.is_cut(host, caller) {
+            return;
+        }
+        let delay_ms = self.driver.delay_ms(host, caller);
+        let earliest = open_delivery(&self.callers, exchange);
+        let at = self.driver.now().after_ms(delay_ms).max(earliest);
+        if let Some(open) = self.callers.exchanges.get_mut(&exchange) {
+            open.last_delivery = at;
+        }
+        let event = Event::Given(Box::new(action)).into();
+        self.driver
+            .put(at.since_ms(self.driver.now()), caller, event);
+    }
+
+    fn caller_given(&mut self, action: outcome::Action) {
+        let Some(exchange) = exchange_of(&action) else {
+            return;
+        };
+        let Some(open) = self.callers.exchanges.get(&exchange) else {
+            return;
+        };
+        let number = open.asked;
+        match action {
+            outcome::Action::Piece { index, piece, .. } => {
+                let known = self.callers.asked[number]
+                    .pieces
+                    .insert(index, piece.clone());
+                if known.is_some_and(|known| known != piece) {
+                    self.checks
+                        .broken("crossed", &format!("piece {index} differs"));
+                }
+            }
+            outcome::Action::Answer { request, body, .. } => {
+                self.callers.exchanges.remove(&exchange);
+                self.answered(number, &request, &body);
+            }
+            outcome::Action::Refuse { refusal, .. } => self.refused(exchange, number, refusal),
+            _ => {}
+        }
+    }
+
+    fn answered(&mut self, number: usize, request: &Request, body: &Body) {
+        let asked = &self.callers.asked[number];
+        let expected = super::checks::expected_answer(&self.plan.document, asked);
+        if *request != asked.request {
+            let text = format!(
+                "{} was given the answer of {}",
+                asked.request.id, request.id
+            );
+            self.checks.broken("crossed", &text);
+        } else if expected.as_bytes() != &**body {
+            let text = format!(
+                "{}: {:?} in place of {expected:?}",
+                asked.request.id,
+                String::from_utf8_lossy(body)
+            );
+            self.checks.broken("truncated", &text);
+        }
+        let took_ms = self.driver.now().since_ms(asked.since);
+        self.finish(number, Word::Answered(took_ms));
+    }
+
+    fn refused(&mut self, exchange: u64, number: usize, refusal: Refusal) {
+        let asked = &self.callers.asked[number];
+        let again = !asked.order
+            && asked.attempts < ATTEMPTS
+            && refusal.remedy == Remedy::AnotherHost
+            && !self.quiet;
+        if again {
+            return self.ask_again(exchange);
+        }
+        self.callers.exchanges.remove(&exchange);
+        let word = match refusal.run {
+            Run::NotRun => Word::NotRun(refusal),
+            Run::MayHaveRun => Word::MayHaveRun(refusal),
+        };
+        self.finish(number, word);
+    }
+
+    fn finish(&mut self, number: usize, word: Word) {
+        let id = self.callers.asked[number].request.id.clone();
+        self.note(&format!("caller of {id} hears {word:?}"));
+        let asked = &mut self.callers.asked[number];
+        asked.word.get_or_insert(word);
+        asked.pieces.clear();
+    }
+
+    /// Resets all exchanges that are open at a host.
+    pub(super) fn reset_exchanges(&mut self, host: Process) {
+        let open: Vec<(u64, usize)> = self
+            .callers
+            .exchanges
+            .iter()
+            .filter(|(_, open)| open.host == host && !open.silent)
+            .map(|(exchange, open)| (*exchange, open.asked))
+            .collect();
+        for (exchange, number) in open {
+            let process = self.callers.asked[number].process;
+            let delay_ms = self.driver.delay_ms(host, process);
+            self.driver
+                .put(delay_ms, process, Event::Reset(exchange).into());
+        }
+    }
+
+    /// Returns how many exchanges are open at a host.
+    pub fn open_exchanges(&self, host: Process) -> usize {
+        let open = self.callers.exchanges.values();
+        open.filter(|open| open.host == host && !open.silent)
+            .count()
+    }
+
+    fn ticket(&mut self, home: Process) -> Option<Ticket> {
+        let place = self.driver.place(home);
+        let mut others = self.up();
+        others.retain(|host| {
+            self.driver.place(*host).data_centre != place.data_centre
+                && !self.leaving.contains(host)
+        });
+        let index = self.driver.draw(others.len() as u64) as usize;
+        let witness = *others.get(index)?;
+        Some(Ticket {
+            home: self.hosts[home].id.clone(),
+            witness: self.hosts[witness].id.clone(),
+            generation: 0,
+        })
+    }
+}
+
+impl Asked {
+    fn ask(&self) -> Ask {
+        let subject = if self.subject.as_str() == document::PIPELINE {
+            Subject::Pipeline(self.subject.clone())
+        } else {
+            Subject::Service(self.subject.clone())
+        };
+        Ask {
+            request: self.request.clone(),
+            subject,
+            priority: self.priority,
+            deadline_ms: None,
+            ticket: self.ticket.clone(),
+            prefix: 0,
+            resume_from: 0,
+            body: self.request.id.as_bytes().into(),
+        }
+    }
+}
+
+impl Event {
+    fn arrive() -> super::Event {
+        Self::Arrive.into()
+    }
+}
+
+impl From<Event> for super::Event {
+    fn from(event: Event) -> Self {
+        Self::Caller(event)
+    }
+}
+
+fn exchange_of(action: &outcome::Action) -> Option<u64> {
+    match action {
+        outcome::Action::Piece { caller, .. }
+        | outcome::Action::Answer { caller, .. }
+        | outcome::Action::Refuse { caller, .. } => Some(caller.0),
+        _ => None,
+    }
+}
+
+fn open_delivery(callers: &Callers, exchange: u64) -> Instant {
+    match callers.exchanges.get(&exchange) {
+        Some(open) => open.last_delivery,
+        None => Instant::ZERO,
+    }
+}
--- /dev/null
+++ b/examples/driver/world/servers.rs
@@ -0,0 +1,306 @@
+//! How hosts and the fake backend servers meet: calls, pieces, ends, loads, orders.
+
+use std::sync::Arc;
+
+use teaselchute::{
+    core::{
+        call::{
+            self,
+            Body,
+            Call,
+            End,
+            Load,
+            Start, //
+        },
+        node,
+        orders::{
+            self,
+            Order, //
+        },
+        routing, //
+    },
+    names::Name,
+    time::Instant,
+};
+
+use super::{
+    Event,
+    World,
+    document,
+    faults, //
+};
+use crate::driver::{
+    Process,
+    server::Running, //
+};
+
+impl World {
+    pub(super) fn send_call(&mut self, host: Process, call: Call, server: &Name) {
+        let Some(target) = self.server_process(&call.pool, server) else {
+            return;
+        };
+        let number = self.server_number(target);
+        self.check_send(host, number, &call);
+        let knew = self.checks.knows(host, number, self.servers[number].start);
+        if self.driver.is_cut(host, target) {
+            return self.end_later(host, target, &call, End::NotSent, None, Instant::ZERO);
+        }
+        let running = Running {
+            host,
+            call,
+            knew,
+            last_delivery: Instant::ZERO,
+        };
+        let delay_ms = self.driver.delay_ms(host, target);
+        self.driver
+            .put(delay_ms, target, Event::Call(Box::new(running)));
+    }
+
+    pub(super) fn call_arrives(&mut self, process: Process, running: Running) {
+        let now = self.driver.now();
+        let number = self.server_number(process);
+        let place = self.driver.life(running.host);
+        let key = (running.host, running.call.id);
+        self.check_arrival(number, &running);
+        let order = running.call.pipeline.as_str() == document::ORDER;
+        if order {
+            self.checks.executed(&running.call.request);
+        }
+        let server = &mut self.servers[number];
+        let (start, pieces) = (server.start, server.shape.pieces);
+        let from = running.call.resume_from;
+        server.running.insert(key, running);
+        let service_ms = server.service_ms(now);
+        let spread_ms = self.driver.draw(service_ms / 2 + 1);
+        let total_ms = service_ms * 3 / 4 + spread_ms;
+        debug_assert!(place == self.driver.life(key.0));
+        for index in from..pieces {
+            let at_ms = total_ms * (index + 1 - from) / (pieces - from + 1);
+            let event = Event::Piece(key.0, key.1, start, index);
+            self.driver.put(at_ms, process, event);
+        }
+        self.driver
+            .put(total_ms, process, Event::Done(key.0, key.1, start));
+    }
+
+    pub(super) fn piece_due(
+        &mut self,
+        process: Process,
+        host: Process,
+        call: call::Id,
+        start: Start,
+        index: u64,
+    ) {
+        let number = self.server_number(process);
+        let server = &self.servers[number];
+        let Some(running) = server.running.get(&(host, call)) else {
+            return;
+        };
+        if server.start != start {
+            return;
+        }
+        let pieces = server.shape.pieces;
+        let event = node::Event::Piece {
+            call,
+            pool: running.call.pool.clone(),
+            start: Some(start),
+            index,
+            piece: piece(&answer(&running.call), index, pieces),
+        };
+        self.deliver_in_order(process, host, call, event, start);
+    }
+
+    pub(super) fn call_done(
+        &mut self,
+        process: Process,
+        host: Process,
+        call: call::Id,
+        start: Start,
+    ) {
+        let number = self.server_number(process);
+        let fails = self.driver.chance(self.servers[number].fail_permille);
+        let server = &mut self.servers[number];
+        if server.start != start {
+            return;
+        }
+        let Some(running) = server.running.remove(&(host, call)) else {
+            return;
+        };
+        let body = if server.shape.pieces > 0 {
+            Body::from([])
+        } else {
+            answer(&running.call)
+        };
+        let end = if fails {
+            self.driver.count("server_failure");
+            End::Failed
+        } else {
+            End::Answered(body)
+        };
+        let after = running.last_delivery;
+        self.end_later(host, process, &running.call, end, Some(start), after);
+    }
+
+    pub(super) fn call_aborted(&mut self, process: Process, host: Process, call: call::Id) {
+        let number = self.server_number(process);
+        let server = &mut self.servers[number];
+        let start = server.start;
+        if let Some(running) = server.running.remove(&(host, call)) {
+            let after = running.last_delivery;
+            let end = End::Cancelled;
+            self.end_later(host, process, &running.call, end, Some(start), after);
+        }
+    }
+
+    /// Brings the end of a call to its host, after all its pieces.
+    fn end_later(
+        &mut self,
+        host: Process,
+        server: Process,
+        call: &Call,
+        end: End,
+        start: Option<Start>,
+        after: Instant,
+    ) {
+        let number = self.server_number(server);
+        let event = node::Event::Ended {
+            call: call.id,
+            pool: call.pool.clone(),
+            server: self.servers[number].shape.name.clone(),
+            start,
+            end,
+        };
+        let now = self.driver.now();
+        let lost = self.driver.is_cut(server, host) && start.is_some();
+        if lost {
+            return;
+        }
+        let delay_ms = self.driver.delay_ms(server, host);
+        let at = now.after_ms(delay_ms).max(after);
+        if let Some(start) = start {
+            self.checks.tells(host, number, start, at);
+        }
+        let event = Event::Node(Box::new(event));
+        self.driver.put(at.since_ms(now), host, event);
+    }
+
+    fn deliver_in_order(
+        &mut self,
+        process: Process,
+        host: Process,
+        call: call::Id,
+        event: node::Event,
+        start: Start,
+    ) {
+        if self.driver.is_cut(process, host) {
+            return;
+        }
+        let now = self.driver.now();
+        let delay_ms = self.driver.delay_ms(process, host);
+        let number = self.server_number(process);
+        let Some(running) = self.servers[number].running.get_mut(&(host, call)) else {
+            return;
+        };
+        let at = now.after_ms(delay_ms).max(running.last_delivery);
+        running.last_delivery = at;
+        self.checks.tells(host, number, start, at);
+        let event = Event::Node(Box::new(event));
+        self.driver.put(at.since_ms(now), host, event);
+    }
+
+    /// Restarts a server: its connections are reset and it is cold.
+    pub fn restart_server(&mut self, number: usize) {
+        let now = self.driver.now();
+        self.driver.count("server_cold");
+        let process = self.first_server + number;
+        let dropped = self.servers[number].restart(now);
+        self.checks.turned_cold(number);
+        let name = self.servers[number].shape.name.clone();
+        self.note(&format!(
+            "server {name} turns cold, {} dropped",
+            dropped.len()
+        ));
+        for running in dropped {
+            let after = running.last_delivery;
+            self.end_later(running.host, process, &running.call, End::Lost, None, after);
+        }
+    }
+
+    /// Ends the calls of a host that stopped: their connections are closed.
+    pub(super) fn drop_calls_of(&mut self, host: Process) {
+        for server in &mut self.servers {
+            server.running.retain(|(sender, _), _| *sender != host);
+        }
+    }
+
+    pub(super) fn report_load(&mut self, process: Process) {
+        self.driver
+            .put(faults::LOAD_REPORT_MS, process, Event::ReportLoad);
+        let number = self.server_number(process);
+        let server = &mut self.servers[number];
+        server.reports += 1;
+        let load = Load {
+            start: server.start,
+            sequence: server.reports,
+            running: server.running.len() as u32,
+            waiting: 0,
+        };
+        let (pool, name) = (server.shape.pool.clone(), server.shape.name.clone());
+        for host in self.up() {
+            if self.driver.is_cut(process, host) {
+                continue;
+            }
+            let event = node::Event::Server {
+                pool: pool.clone(),
+                event: routing::Event::Load {
+                    server: name.clone(),
+                    load,
+                },
+            };
+            // A report is read from a poll, which lags.
+            let lag_ms = self.driver.draw(faults::LOAD_LAG_MS);
+            let at = self.driver.now().after_ms(lag_ms);
+            self.checks.tells(host, number, load.start, at);
+            self.driver.put(lag_ms, host, Event::Node(Box::new(event)));
+        }
+    }
+
+    pub(super) fn order_arrives(&mut self, process: Process, host: Process, order: &Order) {
+        let number = self.server_number(process);
+        let outcome = self.servers[number].order(order);
+        let event = orders::Event::Ordered {
+            id: order.id,
+            outcome,
+        };
+        let event = Event::Node(Box::new(node::Event::Engine(event)));
+        self.driver.send(process, host, event);
+    }
+
+    pub(super) fn engine_read(&mut self, process: Process, host: Process) {
+        let number = self.server_number(process);
+        let server = &self.servers[number];
+        let event = orders::Event::Report {
+            pool: server.shape.pool.clone(),
+            server: server.shape.name.clone(),
+            report: Some(server.report()),
+        };
+        let event = Event::Node(Box::new(node::Event::Engine(event)));
+        self.driver.send(process, host, event);
+    }
+}
+
+/// Returns what a server answers to a call: all stages so far, so that a lost one is seen.
+pub fn answer(call: &Call) -> Body {
+    let input = call.previous.as_ref().unwrap_or(&call.body);
+    let mut body = input.to_vec();
+    body.push(b'|');
+    body.extend_from_slice(call.pool.as_bytes());
+    body.into()
+}
+
+/// Returns one piece of an answer.
+fn piece(answer: &Body, index: u64, pieces: u64) -> Body {
+    let (length, index, pieces) = (answer.len(), index as usize, pieces as usize);
+    let (from, to) = (length * index / pieces, length * (index + 1) / pieces);
+    Arc::from(&answer[from..to])
+}
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -216,6 +216,11 @@
         read(&self.control.lock())
     }
 
+    /// Returns whether nothing runs here, so that a leaving host may stop.
+    pub fn is_idle(&self) -> bool {
+        self.ledgers.iter().all(|ledger| ledger.lock().is_idle())
+    }
+
     /// Takes one event and returns what follows from it in the world.
     pub fn step(&self, now: Instant, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
--- a/src/core/outcome/ledger.rs
+++ b/src/core/outcome/ledger.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns whether no request runs.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty()
+    }
+
     fn ask(&mut self, now: Instant, view: &View, caller: Caller, ask: Box<Ask>) -> Vec<Action> {
         let Some(step) = step(&view.document, &ask, 0) else {
             return vec![Action::Refuse {
