--- a/examples/driver/world/callers.rs
+++ b/examples/driver/world/callers.rs
@@ -10,10 +10,11 @@
         },
         node,
         outcome::{
-            self,
-            Ask,
-            Subject,
-            Ticket, //
+            self, Ask, Subject,
+            ticket::{
+                self,
+                Ticket, //
+            },
         },
         refusal::{
             Refusal,
@@ -160,7 +161,12 @@
             return self.finish(number, Word::Silence);
         };
         if self.callers.asked[number].order && self.callers.asked[number].ticket.is_none() {
-            self.callers.asked[number].ticket = self.ticket(host);
+            let ticket = self.ticket(host);
+            let asked = &mut self.callers.asked[number];
+            if let Some(ticket) = &ticket {
+                asked.request.id = ticket.request_id(&asked.request.id);
+            }
+            asked.ticket = ticket;
         }
         self.callers.asked[number].attempts += 1;
         let exchange = self.callers.next_exchange;
@@ -365,20 +371,10 @@
             .count()
     }
 
-    fn ticket(&mut self, home: Process) -> Option<Ticket> {
-        let place = self.driver.place(home);
-        let mut others = self.up();
-        others.retain(|host| {
-            self.driver.place(*host).data_centre != place.data_centre
-                && !self.leaving.contains(host)
-        });
-        let index = self.driver.draw(others.len() as u64) as usize;
-        let witness = *others.get(index)?;
-        Some(Ticket {
-            home: self.hosts[home].id.clone(),
-            witness: self.hosts[witness].id.clone(),
-            generation: 0,
-        })
+    /// Asks a host for a ticket, as the address answer carries one.
+    fn ticket(&self, home: Process) -> Option<Ticket> {
+        let node = self.nodes[home].as_ref()?;
+        ticket::issue(self.driver.now(), &node.view(), node.own())
     }
 }
 
@@ -397,6 +393,7 @@
             ticket: self.ticket.clone(),
             prefix: 0,
             resume_from: 0,
+            retried: self.attempts > 1,
             body: self.request.id.as_bytes().into(),
         }
     }
