--- a/examples/driver/world/faults.rs
+++ b/examples/driver/world/faults.rs
@@ -179,8 +179,12 @@
             return;
         }
         self.strike_later();
-        let index = self.driver.draw(self.plan.faults.kinds.len() as u64) as usize;
-        self.strike_kind(self.plan.faults.kinds[index]);
+        if self.deck.is_empty() {
+            self.deck = self.plan.faults.kinds.clone();
+        }
+        let index = self.driver.draw(self.deck.len() as u64) as usize;
+        let kind = self.deck.swap_remove(index);
+        self.strike_kind(kind);
     }
 
     /// Lets a fault of a kind strike something at random.
--- a/examples/driver/world/mod.rs
+++ b/examples/driver/world/mod.rs
@@ -129,6 +129,10 @@
     pub trace: Vec<String>,
     /// Hosts that were told to leave and are not yet stopped.
     pub leaving: BTreeSet<Process>,
+    /// Kinds of faults that strike before any strikes again.
+    deck: Vec<faults::Kind>,
+    /// Fingerprint of the run: of each event's time and process.
+    fingerprint: u64,
     listed: Vec<(Instant, Vec<Listed>)>,
     waiting_for_log: BTreeSet<(Process, u64, core_log::Ticket)>,
     first_server: Process,
@@ -171,6 +175,8 @@
             decisions: BTreeMap::new(),
             trace: Vec::new(),
             leaving: BTreeSet::new(),
+            deck: Vec::new(),
+            fingerprint: plan.seed,
             listed: Vec::new(),
             waiting_for_log: BTreeSet::new(),
             first_server,
@@ -205,6 +211,8 @@
     /// Runs until an instant.
     pub fn run_until(&mut self, end: Instant) {
         while let Some((process, event)) = self.driver.next(end) {
+            let at_ms = self.driver.now().as_ms();
+            self.fingerprint = mix(self.fingerprint, at_ms ^ ((process as u64) << 48));
             self.handle(process, event);
         }
     }
@@ -380,6 +388,11 @@
         Some(self.first_server + number)
     }
 
+    /// Returns a number that two runs share only where they were the same.
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint
+    }
+
     /// Returns the indices of hosts that are up.
     pub fn up(&self) -> Vec<Process> {
         (0..self.plan.hosts)
@@ -392,3 +405,7 @@
         self.driver.place(self.first_server + number)
     }
 }
+
+fn mix(fingerprint: u64, value: u64) -> u64 {
+    (fingerprint.rotate_left(5) ^ value).wrapping_mul(0x517c_c1b7_2722_0a95)
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod host;
 pub mod log;
 pub mod membership;
+pub mod mutation;
 pub mod node;
 pub mod orders;
 pub mod outcome;
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -26,6 +26,7 @@
         host,
         log,
         membership,
+        mutation::Mutation,
         orders,
         outcome,
         replica,
@@ -169,6 +170,8 @@
     pub replica: replica::Policy,
     /// How news of hosts comes.
     pub membership: membership::Policy,
+    /// A fault in the core, for tests alone.
+    pub mutation: Mutation,
 }
 
 /// All parts of one host.
