--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod refusal;
 pub mod replica;
+pub mod roster;
 pub mod routing;
 pub mod state;
 pub mod view;
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -9,8 +9,7 @@
 use crate::{
     core::{
         document::Document,
-        host,
-        log,
+        host, log,
         membership::{
             self,
             Membership, //
@@ -23,8 +22,16 @@
             self,
             Replica, //
         },
-        state::Record,
-        view::View, //
+        roster,
+        state::{
+            Record,
+            Roster, //
+        },
+        view::{
+            Health,
+            Member,
+            View, //
+        },
     },
     names::Name,
     time::Instant,
@@ -60,6 +67,8 @@
     replica: Replica,
     membership: Membership,
     controller: Controller,
+    proposer: roster::Proposer,
+    epochs_told: (u64, u64),
     leaving: bool,
     changed: bool,
 }
@@ -71,6 +80,8 @@
             replica: Replica::new(id.clone(), policies.replica, seed),
             membership: Membership::new(own.clone(), policies.membership, seed),
             controller: Controller::new(id, seed),
+            proposer: roster::Proposer::default(),
+            epochs_told: (0, 0),
             own,
             environment,
             leaving: false,
@@ -108,13 +119,16 @@
         View {
             own: self.own.clone(),
             serving: self.replica.is_current(),
-            leaving: self.leaving,
+            leaving: self.leaving || self.membership.is_over(),
             document: Arc::new(document),
             position: self.replica.position(),
             fresh_at: self.replica.fresh_at(),
             drained: state.drained.keys().cloned().collect(),
             roster: state.roster.clone(),
-            previous_roster: state.previous_roster.clone(),
+            previous_roster: match self.membership.is_previous_closed(state.roster.epoch) {
+                true => Roster::default(),
+                false => state.previous_roster.clone(),
+            },
             members: self.membership.members().to_vec(),
         }
     }
@@ -128,6 +142,7 @@
                 let members = self.membership.members().to_vec();
                 self.step_replica(now, replica::Event::Members(members), &mut out);
                 self.step_replica(now, replica::Event::Tick, &mut out);
+                self.step_roster(now, &mut out);
                 self.step_controller(now, orders::Event::Tick, &mut out);
             }
             Event::Log(event) => self.step_replica(now, replica::Event::Log(event), &mut out),
@@ -193,6 +208,46 @@
         }
     }
 
+    /// Tells membership of the rosters in force, and proposes the next one where it is wanted.
+    fn step_roster(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let state = self.replica.state();
+        let (roster, previous) = (state.roster.clone(), state.previous_roster.clone());
+        let epochs = (roster.epoch, previous.epoch);
+        if std::mem::replace(&mut self.epochs_told, epochs) != epochs {
+            let event = membership::Event::Rosters(roster.clone(), previous);
+            self.step_membership(now, event, out);
+        }
+        if !self.replica.is_current() || self.leaving || self.membership.is_over() {
+            return;
+        }
+        let mut serving: Vec<Member> = self.membership.members().to_vec();
+        serving.push(Member {
+            host: self.own.clone(),
+            health: Health::Alive,
+            roster_seen: roster.epoch,
+        });
+        let rank = serving
+            .iter()
+            .filter(|member| member.health == Health::Alive && member.host.id < self.own.id)
+            .count();
+        let is_closed = self.membership.is_previous_closed(roster.epoch);
+        let is_vacant = |id: &host::Id| self.membership.is_vacant(id);
+        let proposal = roster::next(&roster, is_closed, &serving, is_vacant);
+        let is_due = self
+            .proposer
+            .is_due(now, roster.epoch, rank, proposal.as_ref());
+        if let (true, Some(proposal)) = (is_due, proposal) {
+            let event = replica::Event::Propose {
+                asker: None,
+                record: Record::Roster {
+                    based_on: roster.epoch,
+                    members: proposal.members,
+                },
+            };
+            self.step_replica(now, event, out);
+        }
+    }
+
     fn step_controller(&mut self, now: Instant, event: orders::Event, out: &mut Vec<Action>) {
         let view = self.view();
         let claims = &self.replica.state().claims;
