Carry the generation of tickets with each host's own news

Cause: tickets need the witness's generation, which only its own clock tells. Each ping and pong carries it, and it only rises within one life.

--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -18,6 +18,7 @@
             Host,
             Id, //
         },
+        outcome::ticket,
         roster::Progress,
         state::Roster,
         view::Member,
@@ -97,7 +98,7 @@
         /// The number of the request.
         number: u64,
         /// What the target said of itself.
-        news: News,
+        news: Box<News>,
     },
     /// News without a question.
     News(Vec<News>),
@@ -126,6 +127,8 @@
     pub state: Said,
     /// Epoch of the newest roster to which it has shrunk its calls.
     pub roster_seen: u64,
+    /// Generation of tickets on its own clock.
+    pub generation: u64,
     /// Who has left the roster before the current one, as far as the host knows.
     pub progress: Progress,
 }
@@ -141,6 +144,8 @@
     pub state: Said,
     /// Epoch of the newest roster to which it has shrunk its calls.
     pub roster_seen: u64,
+    /// Generation of tickets on the member's own clock when it told this.
+    pub generation: u64,
 }
 
 /// What news say of a member.
@@ -222,6 +227,7 @@
     next_news: Instant,
     next_compare: Instant,
     revision: u64,
+    now: Instant,
 }
 
 impl Membership {
@@ -233,6 +239,7 @@
             refutation: 0,
             state: Said::Alive,
             roster_seen: 0,
+            generation: 0,
         });
         Self {
             policy,
@@ -252,12 +259,14 @@
             next_news: Instant::ZERO,
             next_compare: Instant::ZERO,
             revision: 0,
+            now: Instant::ZERO,
             own,
         }
     }
 
     /// Takes one event and returns what follows from it.
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        self.now = now;
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut out),
@@ -324,6 +333,7 @@
             refutation: standing.refutation,
             state: standing.state,
             roster_seen: standing.roster_seen,
+            generation: standing.generation,
         }
     }
 
@@ -335,6 +345,7 @@
                 None => Said::Alive,
             },
             roster_seen: self.roster_seen,
+            generation: ticket::generation(self.now),
             progress: self.progress.clone(),
         }
     }
@@ -508,7 +519,9 @@
                         refutation: standing.refutation,
                         state: standing.state,
                         roster_seen: standing.roster_seen,
+                        generation: standing.generation,
                     };
+                    let news = Box::new(news);
                     let message = Message::PongFor { number, news };
                     out.push(Action::Send { to, message });
                 }
@@ -637,6 +650,7 @@
                 refutation: 0,
                 state: Said::Alive,
                 roster_seen: 0,
+                generation: 0,
             };
             self.take_own(now, &news, out);
         }
--- a/src/core/membership/table.rs
+++ b/src/core/membership/table.rs
@@ -42,6 +42,7 @@
     pub(super) refutation: u64,
     pub(super) said: Said,
     pub(super) roster_seen: u64,
+    pub(super) generation: u64,
     pub(super) heard_at: Instant,
     listed: bool,
     missing_reads: u32,
@@ -142,6 +143,7 @@
             refutation: 0,
             state: Said::Gone,
             roster_seen: 0,
+            generation: 0,
         })
     }
 
@@ -153,6 +155,7 @@
                 refutation: 0,
                 state: Said::Gone,
                 roster_seen: 0,
+                generation: 0,
             })
         });
         self.entries.values().map(Entry::news).chain(gone).collect()
@@ -185,9 +188,7 @@
         match self.entries.get_mut(&id.name) {
             Some(entry) if entry.host.id == *id => {
                 let change = entry.merge(news, is_rumour);
-                let seen = entry.roster_seen.max(news.roster_seen);
-                let has_seen = std::mem::replace(&mut entry.roster_seen, seen) != seen;
-                if change != Change::Nothing || has_seen {
+                if entry.raise(news) || change != Change::Nothing {
                     self.rebuild();
                 }
                 change
@@ -208,6 +209,7 @@
             refutation: news.refutation,
             said: news.state,
             roster_seen: news.roster_seen,
+            generation: news.generation,
             heard_at: now,
             listed: false,
             missing_reads: 0,
@@ -254,6 +256,7 @@
             refutation: standing.refutation,
             state: standing.state,
             roster_seen: standing.roster_seen,
+            generation: standing.generation,
         };
         self.merge(now, &news, true)
     }
@@ -271,6 +274,7 @@
                 refutation: 0,
                 state,
                 roster_seen: 0,
+                generation: 0,
             };
             let change = self.merge(now, &news, true);
             if change != Change::Nothing {
@@ -376,6 +380,7 @@
             refutation: self.refutation,
             state,
             roster_seen: self.roster_seen,
+            generation: self.generation,
         }
     }
 
@@ -389,9 +394,18 @@
             host: self.host.clone(),
             health,
             roster_seen: self.roster_seen,
+            generation: self.generation,
         }
     }
 
+    /// Raises the numbers that only ever rise within one life. Returns whether one did.
+    fn raise(&mut self, news: &News) -> bool {
+        let before = (self.roster_seen, self.generation);
+        self.roster_seen = self.roster_seen.max(news.roster_seen);
+        self.generation = self.generation.max(news.generation);
+        before != (self.roster_seen, self.generation)
+    }
+
     fn merge(&mut self, news: &News, is_rumour: bool) -> Change {
         let before = self.said;
         if before == Said::Leaving {
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -225,6 +225,7 @@
             host: self.own.clone(),
             health: Health::Alive,
             roster_seen: roster.epoch,
+            generation: 0,
         });
         let rank = serving
             .iter()
--- a/tests/core/membership.rs
+++ b/tests/core/membership.rs
@@ -209,6 +209,7 @@
         refutation: 9,
         state: Said::Leaving,
         roster_seen: 4,
+        generation: 0,
     };
     let event = Event::Message {
         from: host(2, 1),
@@ -240,6 +241,7 @@
         refutation: 5,
         state: Said::Alive,
         roster_seen: 0,
+        generation: 0,
     };
     let event = Event::Message {
         from: host(2, 1),
@@ -295,6 +297,7 @@
         refutation: 0,
         state: Said::Gone,
         roster_seen: 0,
+        generation: 0,
     };
     let event = Event::Message {
         from: host(2, 1),
--- a/tests/core/roster.rs
+++ b/tests/core/roster.rs
@@ -40,6 +40,7 @@
         },
         health,
         roster_seen: 0,
+        generation: 0,
     }
 }
 
