--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -181,6 +181,7 @@
     seed: u64,
     control: Mutex<Control>,
     view: RwLock<Arc<View>>,
+    board: Arc<routing::Board>,
     pools: RwLock<BTreeMap<Name, Arc<Mutex<routing::Pool>>>>,
     ledgers: Vec<Mutex<outcome::ledger::Ledger>>,
 }
@@ -199,6 +200,7 @@
             seed,
             control: Mutex::new(control),
             view,
+            board: Arc::new(routing::Board::default()),
             pools: RwLock::new(BTreeMap::new()),
             ledgers,
         }
@@ -279,6 +281,7 @@
 
     fn tick(&self, now: Instant, out: &mut Vec<Action>) {
         self.control(now, control::Event::Tick, out);
+        self.board.observe(now, &self.view());
         let pools: Vec<Name> = self.pools.read().keys().cloned().collect();
         for pool in &pools {
             self.pool(now, pool, routing::Event::Tick, out);
@@ -391,7 +394,8 @@
         }
         let mut pools = self.pools.write();
         let pool = pools.entry(name.clone()).or_insert_with(|| {
-            let pool = routing::Pool::new(name.clone(), self.policies.routing, self.seed);
+            let board = self.board.clone();
+            let pool = routing::Pool::new(name.clone(), self.policies.routing, board, self.seed);
             Arc::new(Mutex::new(pool))
         });
         pool.clone()
--- /dev/null
+++ b/src/core/routing/affinity.rs
@@ -0,0 +1,64 @@
+//! Which servers cache which prompt prefix, from late and gappy cache events and own answers.
+
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+/// Most prefixes that are remembered.
+const PREFIXES: usize = 32_768;
+
+/// Most servers that are remembered for one prefix.
+const SERVERS: usize = 4;
+
+/// Servers by cached prefix. A server is its index in the pool.
+#[derive(Default)]
+pub struct Index {
+    servers: BTreeMap<u64, Vec<u32>>,
+    order: VecDeque<u64>,
+}
+
+impl Index {
+    /// Notes that a server caches a prefix, or dropped it.
+    pub fn note(&mut self, prefix: u64, server: usize, cached: bool) {
+        let server = server as u32;
+        if !cached {
+            if let Some(servers) = self.servers.get_mut(&prefix) {
+                servers.retain(|known| *known != server);
+            }
+            return;
+        }
+        if !self.servers.contains_key(&prefix) {
+            self.make_room();
+            self.order.push_back(prefix);
+        }
+        let servers = self.servers.entry(prefix).or_default();
+        servers.retain(|known| *known != server);
+        if servers.len() == SERVERS {
+            servers.remove(0);
+        }
+        servers.push(server);
+    }
+
+    /// Forgets all prefixes of a server, whose cache is lost.
+    pub fn forget(&mut self, server: usize) {
+        let server = server as u32;
+        for servers in self.servers.values_mut() {
+            servers.retain(|known| *known != server);
+        }
+    }
+
+    /// Returns the servers that may cache a prefix.
+    pub fn servers(&self, prefix: u64) -> &[u32] {
+        self.servers.get(&prefix).map_or(&[], Vec::as_slice)
+    }
+
+    fn make_room(&mut self) {
+        if self.servers.len() < PREFIXES {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.servers.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/routing/board.rs
@@ -0,0 +1,65 @@
+//! What the pools of one host share: rosters, and the times that stages take.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+
+use super::{
+    remaining::Histogram,
+    roster::History, //
+};
+use crate::{
+    core::{
+        document::Document,
+        view::View, //
+    },
+    names::Name,
+    time::Instant,
+};
+
+/// Shared by the pools of one host.
+#[derive(Default)]
+pub struct Board {
+    rosters: Mutex<History>,
+    times: Mutex<BTreeMap<Name, Vec<Histogram>>>,
+}
+
+impl Board {
+    /// Takes the rosters of a view, also where no pool has calls, so that none is missed.
+    pub fn observe(&self, now: Instant, view: &View) {
+        self.rosters.lock().observe(now, view);
+    }
+
+    /// Reads the rosters.
+    pub fn with_rosters<T>(&self, read: impl FnOnce(&History) -> T) -> T {
+        read(&self.rosters.lock())
+    }
+
+    /// Notes how long a stage took from its offer to its answer, in milliseconds.
+    pub fn took(&self, pipeline: &Name, stage: usize, ms: u64) {
+        let mut times = self.times.lock();
+        if !times.contains_key(pipeline) {
+            times.insert(pipeline.clone(), Vec::new());
+        }
+        let stages = times.get_mut(pipeline).expect("just inserted");
+        if stages.len() <= stage {
+            stages.resize_with(stage + 1, Histogram::new);
+        }
+        stages[stage].add(ms);
+    }
+
+    /// Returns the time that the stages after this one need, in milliseconds, as far as known.
+    pub fn later_ms(&self, document: &Document, pipeline: &Name, stage: usize) -> u64 {
+        let Some(described) = document.pipelines.get(pipeline) else {
+            return 0;
+        };
+        if stage + 1 >= described.stages.len() {
+            return 0;
+        }
+        let times = self.times.lock();
+        let Some(stages) = times.get(pipeline) else {
+            return 0;
+        };
+        stages.iter().skip(stage + 1).map(Histogram::half_ms).sum()
+    }
+}
--- /dev/null
+++ b/src/core/routing/limit.rs
@@ -0,0 +1,170 @@
+//! What this host believes that one backend server can carry.
+//!
+//! The belief rises only with this host's own replies and never above what the time since the
+//! first of them allows. It falls at the first evidence: see `docs/capacity-shares.md`.
+
+use crate::{
+    core::call::Start,
+    time::Instant, //
+};
+
+/// Number of earlier lives that are remembered, so that their late words are known as such.
+const PAST_LIVES: usize = 8;
+
+/// Least part of the limit by which one step raises it.
+const RAISE_DIVISOR: u32 = 4;
+
+/// What the configuration says of a pool's servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Concurrent calls after a cold start.
+    pub cold: u32,
+    /// Concurrent calls of a warm server.
+    pub full: u32,
+    /// Time from the cold to the full limit, in milliseconds.
+    pub warm_up_ms: u64,
+}
+
+/// Whether a word of a server showed that it turned cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Nothing new.
+    None,
+    /// The word is of a life that is over.
+    Past,
+    /// The server has a new life.
+    NewStart(Start),
+}
+
+/// This host's belief about one server.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    start: Option<Start>,
+    past: Vec<Start>,
+    slots: u32,
+    first_reply: Option<Instant>,
+    raised_at: Instant,
+    suspect: bool,
+}
+
+impl Limit {
+    /// Makes the belief about a server of which nothing is known: it is cold.
+    pub fn new() -> Self {
+        Self {
+            start: None,
+            past: Vec::new(),
+            slots: 0,
+            first_reply: None,
+            raised_at: Instant::ZERO,
+            suspect: false,
+        }
+    }
+
+    /// Returns the concurrent calls that the server carries surely.
+    pub fn slots(&self, bounds: &Bounds) -> u32 {
+        if self.suspect {
+            return bounds.cold.min(bounds.full);
+        }
+        self.slots.max(bounds.cold).min(bounds.full)
+    }
+
+    /// Returns whether the server carries its full limit.
+    pub fn is_full(&self, bounds: &Bounds) -> bool {
+        self.slots(bounds) == bounds.full
+    }
+
+    /// Returns whether the server may have restarted since its last word.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
+    /// Returns the life of the server as far as known.
+    pub fn start(&self) -> Option<Start> {
+        self.start
+    }
+
+    /// Takes the life that a reply, report or notice told.
+    pub fn hear(&mut self, start: Start) -> Evidence {
+        if self.start == Some(start) {
+            return Evidence::None;
+        }
+        if self.past.contains(&start) {
+            return Evidence::Past;
+        }
+        let known = self.start.replace(start);
+        if let Some(known) = known {
+            if self.past.len() == PAST_LIVES {
+                self.past.remove(0);
+            }
+            self.past.push(known);
+        }
+        self.cool();
+        self.suspect = false;
+        match known {
+            Some(_) => Evidence::NewStart(start),
+            None => Evidence::None,
+        }
+    }
+
+    /// Takes a reply of the server to a call of this host.
+    ///
+    /// Returns whether the limit rose.
+    pub fn reply(
+        &mut self,
+        now: Instant,
+        start: Option<Start>,
+        sent_at: Instant,
+        good: bool,
+        bounds: &Bounds,
+    ) -> bool {
+        if start != self.start {
+            return false;
+        }
+        self.suspect = false;
+        let first_reply = *self.first_reply.get_or_insert(now);
+        let slots = self.slots(bounds);
+        if !good || sent_at < self.raised_at || slots >= bounds.full {
+            return false;
+        }
+        let envelope = envelope(now.since_ms(first_reply), bounds);
+        let raised = slots + (slots / RAISE_DIVISOR).max(1);
+        let raised = raised.min(envelope);
+        if raised <= slots {
+            return false;
+        }
+        self.slots = raised;
+        self.raised_at = now;
+        true
+    }
+
+    /// Takes the loss of a connection: the server may have restarted.
+    pub fn lose(&mut self) {
+        match self.start {
+            Some(_) => self.suspect = true,
+            // A server that tells no life can't show that it kept it.
+            None => self.cool(),
+        }
+    }
+
+    /// Takes it that the server is cold now, by whatever evidence.
+    pub fn cool(&mut self) {
+        self.slots = 0;
+        self.first_reply = None;
+        self.raised_at = Instant::ZERO;
+    }
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the most that a server carries surely this long after a reply.
+fn envelope(age_ms: u64, bounds: &Bounds) -> u32 {
+    if age_ms >= bounds.warm_up_ms {
+        return bounds.full;
+    }
+    let span = u64::from(bounds.full.saturating_sub(bounds.cold));
+    bounds.cold + (span * age_ms / bounds.warm_up_ms) as u32
+}
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -2,8 +2,6 @@
 //!
 //! Shares of cold servers, limits, fair queues, retries and choice: see `docs/routing-design.md`.
 
-use std::collections::BTreeMap;
-
 use crate::{
     core::{
         call::{
@@ -14,14 +12,29 @@
             Start, //
         },
         decision::Decision,
-        refusal::Refusal,
-        view::View, //
+        refusal::Refusal, //
     },
     names::Name,
-    time::Instant,
 };
 
+pub mod affinity;
+pub mod board;
+pub mod budget;
+pub mod choice;
+pub mod cost;
+pub mod limit;
 pub mod policy;
+pub mod pool;
+pub mod queue;
+pub mod refuse;
+pub mod remaining;
+pub mod roster;
+pub mod server;
+pub mod share;
+pub mod words;
+
+pub use board::Board;
+pub use pool::Pool;
 
 /// What a pool is told.
 #[derive(Clone, Debug)]
@@ -116,59 +129,3 @@
     /// Log a decision.
     Decide(Decision),
 }
-
-/// The routing state of one pool on one host.
-pub struct Pool {
-    name: Name,
-    policy: policy::Policy,
-    sent: BTreeMap<call::Id, Name>,
-}
-
-impl Pool {
-    /// Makes a pool without calls. The seed feeds the samples of candidates.
-    pub fn new(name: Name, policy: policy::Policy, seed: u64) -> Self {
-        let _ = seed;
-        Self {
-            name,
-            policy,
-            sent: BTreeMap::new(),
-        }
-    }
-
-    /// Takes one event and returns what follows from it.
-    pub fn step(&mut self, now: Instant, view: &View, event: Event) -> Vec<Action> {
-        let _ = (now, self.policy);
-        match event {
-            Event::Offer(call) => self.offer(view, call),
-            Event::Ended { call, .. } => {
-                self.sent.remove(&call);
-                Vec::new()
-            }
-            _ => Vec::new(),
-        }
-    }
-
-    /// Returns whether all calls on cold servers fit the share under this roster epoch, so that
-    /// others may count on it.
-    pub fn has_shrunk(&self, view: &View) -> bool {
-        let _ = view;
-        true
-    }
-
-    fn offer(&mut self, view: &View, call: Call) -> Vec<Action> {
-        let Some(pool) = view.document.pools.get(&self.name) else {
-            return Vec::new();
-        };
-        let server = pool
-            .servers
-            .iter()
-            .filter(|(name, server)| !view.is_drained(&self.name, name, &server.data_centre))
-            .map(|(name, _)| name)
-            .min_by_key(|name| self.sent.values().filter(|sent| sent == name).count());
-        let Some(server) = server.cloned() else {
-            return Vec::new();
-        };
-        self.sent.insert(call.id, server.clone());
-        vec![Action::Send { call, server }]
-    }
-}
--- /dev/null
+++ b/src/core/routing/pool.rs
@@ -0,0 +1,865 @@
+//! The state machine of one pool on one host.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    Action, Event, affinity,
+    board::Board,
+    budget::Budget,
+    choice, cost,
+    limit::{
+        Bounds,
+        Evidence, //
+    },
+    policy::Policy,
+    queue::{
+        Queue,
+        Waiting, //
+    },
+    refuse,
+    remaining::Histogram,
+    server::{
+        Distance,
+        Server, //
+    },
+    share::Place,
+    words::{
+        Words,
+        value, //
+    },
+};
+use crate::{
+    core::{
+        call::{
+            self,
+            Call,
+            End,
+            Load,
+            Start, //
+        },
+        decision::{
+            Candidate,
+            Decision,
+            Kind, //
+        },
+        document,
+        view::View, //
+    },
+    names::Name,
+    time::Instant,
+};
+
+/// Most calls that wait in one pool of one host.
+const QUEUE_LIMIT: usize = 4_096;
+
+/// Most calls that wait where late answers are wanted, which aren't refused before.
+const LATE_QUEUE_LIMIT: usize = 65_536;
+
+/// Number of calls that are tried before a dispatch gives up for want of a fitting server.
+const DISPATCH_TRIES: usize = 4;
+
+/// How many times longer than typical an answer may take that counts as good.
+const REMARKABLE: u64 = 3;
+
+/// A call that runs on a server.
+struct Sent {
+    server: usize,
+    request: call::Request,
+    pipeline: Name,
+    stage: usize,
+    prefix: u64,
+    offered_at: Instant,
+    at: Instant,
+    /// Life of the server in which the call surely runs.
+    start: Option<Start>,
+    progressed: bool,
+    aborted: bool,
+}
+
+/// The routing state of one pool on one host.
+pub struct Pool {
+    name: Name,
+    policy: Policy,
+    board: Arc<Board>,
+    rng: Pcg64Mcg,
+    words: Words,
+    document: Option<Arc<document::Pool>>,
+    bounds: Bounds,
+    servers: Vec<Server>,
+    names: BTreeMap<Name, usize>,
+    open: Vec<usize>,
+    models: BTreeMap<Name, Vec<usize>>,
+    affinity: affinity::Index,
+    queue: Queue,
+    sent: BTreeMap<call::Id, Sent>,
+    budget: Budget,
+    times: BTreeMap<Name, Vec<Histogram>>,
+    all_times: Histogram,
+    book: cost::Book,
+    slots: u64,
+    turn: usize,
+}
+
+impl Pool {
+    /// Makes a pool without calls. The seed feeds the samples of candidates.
+    pub fn new(name: Name, policy: Policy, board: Arc<Board>, seed: u64) -> Self {
+        let salt = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        Self {
+            name,
+            policy,
+            board,
+            rng: Pcg64Mcg::seed_from_u64(seed ^ salt),
+            words: Words::new(),
+            document: None,
+            bounds: Bounds {
+                cold: 0,
+                full: 0,
+                warm_up_ms: 0,
+            },
+            servers: Vec::new(),
+            names: BTreeMap::new(),
+            open: Vec::new(),
+            models: BTreeMap::new(),
+            affinity: affinity::Index::default(),
+            queue: Queue::default(),
+            sent: BTreeMap::new(),
+            budget: Budget::default(),
+            times: BTreeMap::new(),
+            all_times: Histogram::new(),
+            book: cost::Book::default(),
+            slots: 0,
+            turn: 0,
+        }
+    }
+
+    /// Takes one event and returns what follows from it.
+    pub fn step(&mut self, now: Instant, view: &View, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.board.observe(now, view);
+        self.follow(now, view);
+        match event {
+            Event::Offer(call) => self.offer(now, view, call, &mut out),
+            Event::Cancel(call) => self.cancel(call, &mut out),
+            Event::Ended {
+                call,
+                server,
+                start,
+                end,
+            } => self.ended(now, view, call, &server, start, &end, &mut out),
+            Event::Progress { call, start } => self.progress(now, call, start, &mut out),
+            Event::Load { server, load } => self.load(now, view, &server, load, &mut out),
+            Event::Cache {
+                server,
+                prefix,
+                cached,
+            } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.affinity.note(prefix, index, cached);
+                }
+            }
+            Event::ColdNotice { server, start } => self.notice(now, &server, start, &mut out),
+            Event::Models { server, models } => self.note_models(&server, models),
+            Event::Tick => self.tick(now, view, &mut out),
+        }
+        self.dispatch(now, view, &mut out);
+        out
+    }
+
+    /// Returns whether all calls on cold servers fit the share under this roster epoch, so that
+    /// others may count on it.
+    pub fn has_shrunk(&self, view: &View) -> bool {
+        self.servers.iter().all(|server| {
+            let limit = server.limit.slots(&self.bounds);
+            let members = &view.roster.members;
+            let place = Place::of(&view.own.id, &self.name, &server.name, members);
+            let warm = place.rank.is_some() && limit >= self.bounds.full;
+            warm || server.used() <= place.slots(limit)
+        })
+    }
+
+    /// Returns what calls have cost, by organisation, pipeline and stage.
+    pub fn costs(&self) -> &BTreeMap<cost::Key, cost::Account> {
+        self.book.accounts()
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the servers as this host sees them.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.iter().filter(|server| server.listed)
+    }
+
+    /// Returns the limits that the document sets.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Follows the document's servers and limits.
+    fn follow(&mut self, now: Instant, view: &View) {
+        let Some(document) = view.document.pools.get(&self.name) else {
+            if self.document.take().is_some() {
+                for index in 0..self.servers.len() {
+                    self.servers[index].listed = false;
+                    self.refresh(now, view, index);
+                }
+            }
+            return;
+        };
+        let same = self
+            .document
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, document));
+        if same {
+            return;
+        }
+        let equal = self.document.as_ref() == Some(document);
+        self.document = Some(document.clone());
+        if equal {
+            return;
+        }
+        self.bounds = Bounds {
+            cold: document.cold_limit.min(document.full_limit),
+            full: document.full_limit,
+            warm_up_ms: document.warm_up_ms,
+        };
+        for server in &mut self.servers {
+            server.listed = document.servers.contains_key(&server.name);
+        }
+        for (name, described) in &document.servers {
+            let index = match self.names.get(name) {
+                Some(&index) => index,
+                None => {
+                    let server = Server::new(name.clone(), described.data_centre.clone());
+                    self.servers.push(server);
+                    self.names.insert(name.clone(), self.servers.len() - 1);
+                    self.servers.len() - 1
+                }
+            };
+            let server = &mut self.servers[index];
+            server.data_centre = described.data_centre.clone();
+            let data_centre = view.document.data_centres.get(&described.data_centre);
+            server.distance = distance(view, &described.data_centre);
+            server.egress_price_milli = data_centre.map_or(0, |dc| dc.egress_price_milli);
+        }
+        for index in 0..self.servers.len() {
+            self.refresh(now, view, index);
+        }
+    }
+
+    /// Brings the index of servers with room up to date for one server.
+    fn refresh(&mut self, now: Instant, view: &View, index: usize) {
+        let timeout_ms = self
+            .document
+            .as_ref()
+            .map_or(0, |pool| pool.call_timeout_ms);
+        let server = &mut self.servers[index];
+        self.board.with_rosters(|rosters| {
+            server.place(now, &self.name, &view.own.id, rosters, timeout_ms);
+        });
+        let room = match self.policy {
+            Policy::Teaselchute => server.has_room(now, &self.bounds),
+            _ => server.listed && server.in_flight < self.bounds.full,
+        };
+        match (room, server.open_at) {
+            (true, None) => {
+                server.open_at = Some(self.open.len());
+                self.open.push(index);
+            }
+            (false, Some(position)) => {
+                server.open_at = None;
+                self.open.swap_remove(position);
+                if let Some(&moved) = self.open.get(position) {
+                    self.servers[moved].open_at = Some(position);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
+        let mut slots = 0;
+        for index in 0..self.servers.len() {
+            self.servers[index].fade(now);
+            self.refresh(now, view, index);
+            let server = &self.servers[index];
+            if server.listed && now >= server.backoff_until {
+                slots += u64::from(server.allowed(&self.bounds));
+            }
+        }
+        self.slots = slots;
+        while let Some(waiting) = self.queue.expire(now) {
+            let refusal = refuse::late(now, &waiting, self.queue.len(), slots);
+            out.push(Action::Refuse {
+                call: waiting.call.id,
+                refusal,
+            });
+        }
+    }
+
+    fn offer(&mut self, now: Instant, view: &View, call: Call, out: &mut Vec<Action>) {
+        let known = self.queue.remove(call.id).is_some() || self.sent.contains_key(&call.id);
+        assert!(!known, "a call is offered once");
+        let id = call.id;
+        if let Err(refusal) = self.admit(now, view, call) {
+            out.push(Action::Refuse { call: id, refusal });
+        }
+        while self.queue.len() > QUEUE_LIMIT {
+            let Some(waiting) = self.queue.evict() else {
+                break;
+            };
+            out.push(Action::Refuse {
+                call: waiting.call.id,
+                refusal: refuse::queue_full(QUEUE_LIMIT),
+            });
+        }
+    }
+
+    fn admit(&mut self, now: Instant, view: &View, call: Call) -> refuse::Result<()> {
+        if self.document.is_none() {
+            return Err(refuse::unknown_pool(&self.name));
+        }
+        let organisation = &call.request.organisation;
+        if call.attempt == 0 {
+            let percent = view.document.policies.retry_percent;
+            self.budget
+                .earn(&call.pipeline, call.stage, organisation, percent);
+        } else if self.policy == Policy::Teaselchute
+            && !self.budget.take(&call.pipeline, call.stage, organisation)
+        {
+            return Err(refuse::no_retry_left(call.attempt));
+        }
+        let usable = self.servers.iter().any(|server| {
+            server.listed && !view.is_drained(&self.name, &server.name, &server.data_centre)
+        });
+        if !usable {
+            return Err(refuse::no_server(&self.name));
+        }
+        if call.late_answer_wanted && self.queue.len() >= LATE_QUEUE_LIMIT {
+            return Err(refuse::queue_full(LATE_QUEUE_LIMIT));
+        }
+        let later_ms = self
+            .board
+            .later_ms(&view.document, &call.pipeline, call.stage);
+        let (low_ms, half_ms) = self.stage_ms(&call.pipeline, call.stage);
+        let wait_ms = self.wait_ms(&call, half_ms);
+        let need_ms = wait_ms + half_ms + later_ms;
+        let left_ms = call.deadline.since_ms(now);
+        let ours = self.policy == Policy::Teaselchute;
+        if ours && !call.late_answer_wanted && need_ms > left_ms {
+            return Err(refuse::deadline(left_ms, wait_ms, half_ms, later_ms));
+        }
+        let weight = view
+            .document
+            .organisations
+            .get(organisation)
+            .map_or(1, |organisation| organisation.weight);
+        self.queue.push(Waiting {
+            latest: call.deadline.before_ms(low_ms.max(half_ms / 2) + later_ms),
+            call,
+            offered_at: now,
+            weight,
+        });
+        Ok(())
+    }
+
+    /// Returns how long a call would wait for its turn, in milliseconds.
+    fn wait_ms(&self, call: &Call, half_ms: u64) -> u64 {
+        let ahead = self.queue.ahead(call.priority, &call.request.organisation) as u64;
+        if ahead == 0 {
+            return 0;
+        }
+        ahead * half_ms / self.slots.max(1)
+    }
+
+    /// Returns the shortest and the typical time of a stage, in milliseconds, 0 where unknown.
+    fn stage_ms(&self, pipeline: &Name, stage: usize) -> (u64, u64) {
+        let times = self
+            .times
+            .get(pipeline)
+            .and_then(|stages| stages.get(stage));
+        times.map_or((0, 0), |times| (times.low_ms(), times.half_ms()))
+    }
+
+    /// Sends what waits, as far as servers have room.
+    fn dispatch(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
+        let mut unsent = Vec::new();
+        while unsent.len() < DISPATCH_TRIES && !self.open.is_empty() {
+            let Some(waiting) = self.queue.pop() else {
+                break;
+            };
+            if waiting.latest < now && !waiting.call.late_answer_wanted {
+                let refusal = refuse::late(now, &waiting, self.queue.len(), self.slots);
+                out.push(Action::Refuse {
+                    call: waiting.call.id,
+                    refusal,
+                });
+                continue;
+            }
+            let (chosen, candidates) = self.choose(now, view, &waiting.call);
+            match chosen {
+                Some(index) => self.send(now, view, waiting, index, candidates, out),
+                None => unsent.push(waiting),
+            }
+        }
+        for waiting in unsent.into_iter().rev() {
+            self.queue.put_back(waiting, now);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        view: &View,
+        waiting: Waiting,
+        index: usize,
+        candidates: Vec<Candidate>,
+        out: &mut Vec<Action>,
+    ) {
+        let server = &mut self.servers[index];
+        server.send();
+        if self.policy == Policy::Teaselchute {
+            assert!(
+                server.used() <= server.allowed(&self.bounds),
+                "a host never uses more than its share"
+            );
+        }
+        let call = waiting.call;
+        let name = server.name.clone();
+        out.push(Action::Decide(Decision {
+            at: now,
+            kind: Kind::Route,
+            subject: call.request.id.clone(),
+            stage: None,
+            rule: match self.policy {
+                Policy::Teaselchute => self.words.lowest_score.clone(),
+                _ => self.words.baseline.clone(),
+            },
+            choice: name.clone(),
+            values: vec![
+                value(&self.words.waited, now.since_ms(waiting.offered_at)),
+                value(&self.words.left, call.deadline.since_ms(now)),
+                value(&self.words.queued, self.queue.len() as u64),
+            ],
+            candidates,
+        }));
+        let account = self.book.account(cost::Key {
+            organisation: call.request.organisation.clone(),
+            pipeline: call.pipeline.clone(),
+            stage: call.stage,
+        });
+        account.calls += 1;
+        account.retries += u64::from(call.attempt > 0);
+        if server.distance == Distance::Far {
+            let bytes = sent_bytes(&call);
+            account.metered_bytes += bytes;
+            account.price_micro += bytes * server.egress_price_milli / 1_000_000;
+        }
+        self.sent.insert(
+            call.id,
+            Sent {
+                server: index,
+                request: call.request.clone(),
+                pipeline: call.pipeline.clone(),
+                stage: call.stage,
+                prefix: call.prefix,
+                offered_at: waiting.offered_at,
+                at: now,
+                start: None,
+                progressed: false,
+                aborted: false,
+            },
+        );
+        out.push(Action::Send { call, server: name });
+        self.refresh(now, view, index);
+    }
+
+    /// Chooses a server for a call, and returns the candidates that were compared.
+    fn choose(
+        &mut self,
+        now: Instant,
+        view: &View,
+        call: &Call,
+    ) -> (Option<usize>, Vec<Candidate>) {
+        if self.policy != Policy::Teaselchute {
+            return self.choose_baseline(view, call);
+        }
+        let context = choice::Context {
+            now,
+            bounds: self.bounds,
+            typical_ms: choice::typical_or_guess(self.all_times.half_ms()),
+            price_milli: self.document.as_ref().map_or(0, |pool| pool.price_milli),
+            bytes: sent_bytes(call),
+        };
+        let mut candidates = Vec::with_capacity(choice::SAMPLES + 2);
+        let mut best: Option<(u64, usize, usize)> = None;
+        let mut seen = [usize::MAX; choice::LOOKS];
+        let mut looks = 0;
+        let cached = self.affinity.servers(call.prefix).len().min(4);
+        let source = self.source_len(call);
+        let offset = self.rng.random_range(0..source.max(1));
+        let tries = cached + source.min(choice::LOOKS);
+        for attempt in 0..tries {
+            if candidates.len() >= choice::SAMPLES || looks == choice::LOOKS {
+                break;
+            }
+            let (index, hit) = if attempt < cached {
+                let index = self.affinity.servers(call.prefix)[attempt] as usize;
+                (index, call.prefix != 0)
+            } else if source <= choice::LOOKS {
+                (self.source(call, (offset + attempt) % source), false)
+            } else {
+                let position = self.rng.random_range(0..source);
+                (self.source(call, position), false)
+            };
+            if seen[..looks].contains(&index) {
+                continue;
+            }
+            seen[looks] = index;
+            looks += 1;
+            let server = &self.servers[index];
+            if server.open_at.is_none() || !server.has_room(now, &self.bounds) {
+                continue;
+            }
+            let mut candidate = Candidate {
+                name: server.name.clone(),
+                values: Vec::new(),
+                passed_over: None,
+            };
+            candidate.passed_over = self.unfit(view, call, server);
+            if candidate.passed_over.is_none() {
+                let score = choice::score(&context, server, hit);
+                candidate.values = vec![
+                    value(&self.words.score, score),
+                    value(&self.words.allowed, u64::from(server.allowed(&self.bounds))),
+                    value(&self.words.used, u64::from(server.used())),
+                    value(
+                        &self.words.limit,
+                        u64::from(server.limit.slots(&self.bounds)),
+                    ),
+                    value(&self.words.estimated, u64::from(server.estimated(now))),
+                    value(&self.words.cached, u64::from(hit)),
+                ];
+                if best.is_none_or(|(least, _, _)| score < least) {
+                    best = Some((score, index, candidates.len()));
+                }
+            }
+            candidates.push(candidate);
+        }
+        let chosen = best.map(|(_, index, position)| {
+            for (at, candidate) in candidates.iter_mut().enumerate() {
+                if at != position && candidate.passed_over.is_none() {
+                    candidate.passed_over = Some(self.words.higher_score.clone());
+                }
+            }
+            index
+        });
+        (chosen, candidates)
+    }
+
+    /// Returns why a server can't take a call, or nothing where it can.
+    fn unfit(&self, view: &View, call: &Call, server: &Server) -> Option<Name> {
+        if call.avoid.contains(&server.name) {
+            return Some(self.words.avoided.clone());
+        }
+        if view.is_drained(&self.name, &server.name, &server.data_centre) {
+            return Some(self.words.drained.clone());
+        }
+        let loaded = match (&call.model, &server.models) {
+            (Some(model), Some(models)) => models.contains(model),
+            // With no news of models in the pool, all its servers are taken as able.
+            (Some(_), None) => self.models.is_empty(),
+            (None, _) => true,
+        };
+        (!loaded).then(|| self.words.no_model.clone())
+    }
+
+    /// Returns the number of servers among which candidates are sampled.
+    fn source_len(&self, call: &Call) -> usize {
+        match self.with_model(call) {
+            Some(servers) => servers.len(),
+            None => self.open.len(),
+        }
+    }
+
+    fn source(&self, call: &Call, position: usize) -> usize {
+        match self.with_model(call) {
+            Some(servers) => servers[position],
+            None => self.open[position],
+        }
+    }
+
+    fn with_model(&self, call: &Call) -> Option<&Vec<usize>> {
+        self.models.get(call.model.as_ref()?)
+    }
+
+    fn choose_baseline(&mut self, view: &View, call: &Call) -> (Option<usize>, Vec<Candidate>) {
+        let fits = |pool: &Self, index: usize| {
+            let server = &pool.servers[index];
+            server.open_at.is_some() && pool.unfit(view, call, server).is_none()
+        };
+        let open: Vec<usize> = (0..self.servers.len())
+            .filter(|&index| fits(self, index))
+            .collect();
+        if open.is_empty() {
+            return (None, Vec::new());
+        }
+        let load = |index: &usize| self.servers[*index].in_flight;
+        let chosen = match self.policy {
+            Policy::RoundRobin => {
+                self.turn += 1;
+                open[self.turn % open.len()]
+            }
+            Policy::LeastOutstanding => *open.iter().min_by_key(|index| load(index)).expect("some"),
+            Policy::TwoChoices => {
+                let one = open[self.rng.random_range(0..open.len())];
+                let two = open[self.rng.random_range(0..open.len())];
+                if load(&two) < load(&one) { two } else { one }
+            }
+            Policy::Random | Policy::Teaselchute => open[self.rng.random_range(0..open.len())],
+        };
+        (Some(chosen), Vec::new())
+    }
+
+    fn cancel(&mut self, id: call::Id, out: &mut Vec<Action>) {
+        if self.queue.remove(id).is_some() {
+            return;
+        }
+        let Some(sent) = self.sent.get_mut(&id) else {
+            return;
+        };
+        if !sent.aborted {
+            sent.aborted = true;
+            out.push(Action::Abort {
+                call: id,
+                server: self.servers[sent.server].name.clone(),
+            });
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "these are the event's fields")]
+    fn ended(
+        &mut self,
+        now: Instant,
+        view: &View,
+        id: call::Id,
+        name: &Name,
+        start: Option<Start>,
+        end: &End,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(sent) = self.sent.remove(&id) else {
+            return;
+        };
+        let index = sent.server;
+        assert!(
+            self.servers[index].name == *name,
+            "a call ends where it was sent"
+        );
+        assert!(self.servers[index].in_flight > 0, "calls in flight match");
+        self.servers[index].in_flight -= 1;
+        if let Some(start) = start {
+            self.hear(now, index, start, out);
+        }
+        match end {
+            End::Answered(_) => self.answered(now, index, &sent, start),
+            End::Failed => self.failed(now, index, &sent, start),
+            End::Refused => {
+                // A server that refuses carries less than was believed.
+                self.servers[index].limit.cool();
+                self.failed(now, index, &sent, start);
+            }
+            End::NotSent => self.lost(now, index),
+            End::Lost => {
+                let timeout_ms = self
+                    .document
+                    .as_ref()
+                    .map_or(0, |pool| pool.call_timeout_ms);
+                let until = sent.at.after_ms(timeout_ms);
+                self.lost(now, index);
+                let server = &mut self.servers[index];
+                let over = sent.start.is_some() && sent.start != server.limit.start();
+                if !over && until > now {
+                    server.linger(until, sent.start);
+                }
+            }
+            End::Cancelled => {}
+        }
+        self.refresh(now, view, index);
+    }
+
+    fn answered(&mut self, now: Instant, index: usize, sent: &Sent, start: Option<Start>) {
+        let ms = now.since_ms(sent.at);
+        let typical_ms = self.all_times.half_ms();
+        let good = typical_ms == 0 || ms <= typical_ms * REMARKABLE;
+        let server = &mut self.servers[index];
+        server.answers();
+        server.note_failure(false);
+        server.typical_ms = match server.typical_ms {
+            0 => ms,
+            known => known - known / 8 + ms / 8,
+        };
+        server.limit.reply(now, start, sent.at, good, &self.bounds);
+        self.all_times.add(ms);
+        stage_times(&mut self.times, &sent.pipeline, sent.stage).add(ms);
+        let whole_ms = now.since_ms(sent.offered_at);
+        self.board.took(&sent.pipeline, sent.stage, whole_ms);
+        if sent.prefix != 0 {
+            self.affinity.note(sent.prefix, index, true);
+        }
+        self.charge(sent, ms, true);
+    }
+
+    fn failed(&mut self, now: Instant, index: usize, sent: &Sent, start: Option<Start>) {
+        let server = &mut self.servers[index];
+        server.answers();
+        server.note_failure(true);
+        server.limit.reply(now, start, sent.at, false, &self.bounds);
+        self.charge(sent, now.since_ms(sent.at), false);
+    }
+
+    fn lost(&mut self, now: Instant, index: usize) {
+        let jitter = self.rng.random_range(0..1 << 16);
+        let server = &mut self.servers[index];
+        server.limit.lose();
+        server.note_failure(true);
+        server.back_off(now, jitter);
+    }
+
+    fn charge(&mut self, sent: &Sent, run_ms: u64, answered: bool) {
+        let price_milli = self.document.as_ref().map_or(0, |pool| pool.price_milli);
+        let account = self.book.account(cost::Key {
+            organisation: sent.request.organisation.clone(),
+            pipeline: sent.pipeline.clone(),
+            stage: sent.stage,
+        });
+        account.run_ms += run_ms;
+        account.answered += u64::from(answered);
+        account.price_micro += run_ms * price_milli;
+    }
+
+    fn progress(
+        &mut self,
+        now: Instant,
+        id: call::Id,
+        start: Option<Start>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(sent) = self.sent.get_mut(&id) else {
+            return;
+        };
+        let (index, at, first) = (sent.server, sent.at, !sent.progressed);
+        sent.progressed = true;
+        sent.start = start.or(sent.start);
+        if !first {
+            return;
+        }
+        if let Some(start) = start {
+            self.hear(now, index, start, out);
+        }
+        let server = &mut self.servers[index];
+        server.answers();
+        server.limit.reply(now, start, at, true, &self.bounds);
+    }
+
+    fn load(&mut self, now: Instant, view: &View, name: &Name, load: Load, out: &mut Vec<Action>) {
+        let Some(&index) = self.names.get(name) else {
+            return;
+        };
+        self.hear(now, index, load.start, out);
+        let hosts = view.roster.members.len() as u32;
+        let draw = self.rng.random();
+        self.servers[index].report(now, load, &self.bounds, hosts, draw);
+        self.refresh(now, view, index);
+    }
+
+    fn notice(&mut self, now: Instant, name: &Name, start: Start, out: &mut Vec<Action>) {
+        if let Some(&index) = self.names.get(name) {
+            // The notice reaches all hosts, so that nobody passes it on.
+            self.hear(now, index, start, out);
+            out.retain(|action| !matches!(action, Action::TellCold { .. }));
+        }
+    }
+
+    /// Takes a server's life as told by a reply, report or notice.
+    fn hear(&mut self, now: Instant, index: usize, start: Start, out: &mut Vec<Action>) {
+        let server = &mut self.servers[index];
+        let before = server.limit.slots(&self.bounds);
+        let Evidence::NewStart(start) = server.limit.hear(start) else {
+            return;
+        };
+        server.turn_cold();
+        self.affinity.forget(index);
+        out.push(Action::TellCold {
+            server: self.servers[index].name.clone(),
+            start,
+        });
+        out.push(Action::Decide(Decision {
+            at: now,
+            kind: Kind::Limit,
+            subject: self.servers[index].name.clone(),
+            stage: None,
+            rule: Name::from("new_start"),
+            choice: Name::from("cold"),
+            values: vec![
+                value(&Name::from("limit_before_calls"), u64::from(before)),
+                value(&self.words.limit, u64::from(self.bounds.cold)),
+            ],
+            candidates: Vec::new(),
+        }));
+    }
+
+    fn note_models(&mut self, name: &Name, models: Vec<Name>) {
+        let Some(&index) = self.names.get(name) else {
+            return;
+        };
+        for servers in self.models.values_mut() {
+            servers.retain(|known| *known != index);
+        }
+        for model in &models {
+            self.models.entry(model.clone()).or_default().push(index);
+        }
+        self.servers[index].models = Some(models.into_iter().collect());
+    }
+}
+
+fn distance(view: &View, data_centre: &Name) -> Distance {
+    if *data_centre == view.own.data_centre {
+        return Distance::DataCentre;
+    }
+    match view.document.data_centres.get(data_centre) {
+        Some(described) if described.region == view.own.region => Distance::Region,
+        _ => Distance::Far,
+    }
+}
+
+fn sent_bytes(call: &Call) -> u64 {
+    let previous = call.previous.as_ref().map_or(0, |body| body.len());
+    (call.body.len() + previous) as u64
+}
+
+fn stage_times<'a>(
+    times: &'a mut BTreeMap<Name, Vec<Histogram>>,
+    pipeline: &Name,
+    stage: usize,
+) -> &'a mut Histogram {
+    if !times.contains_key(pipeline) {
+        times.insert(pipeline.clone(), Vec::new());
+    }
+    let stages = times.get_mut(pipeline).expect("just inserted");
+    if stages.len() <= stage {
+        stages.resize_with(stage + 1, Histogram::new);
+    }
+    &mut stages[stage]
+}
--- /dev/null
+++ b/src/core/routing/refuse.rs
@@ -0,0 +1,88 @@
+//! The refusals of a pool, each with the values that decided.
+//!
+//! A pool refuses only calls that it never sent, so all of them are truthfully not run.
+
+use super::queue::Waiting;
+use crate::{
+    core::refusal::{
+        Code,
+        Refusal,
+        Remedy, //
+    },
+    names::Name,
+    time::Instant,
+};
+
+/// Wait that is proposed where nothing better is known, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// A refusal in place of a value.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// The pool isn't in the document.
+pub fn unknown_pool(pool: &Name) -> Refusal {
+    Refusal::not_run(
+        Code::NoServer,
+        Remedy::Wait,
+        format!("the document in force has no pool {pool}"),
+    )
+}
+
+/// All servers of the pool are taken out.
+pub fn no_server(pool: &Name) -> Refusal {
+    Refusal::not_run(
+        Code::NoServer,
+        Remedy::Wait,
+        format!("all servers of pool {pool} are taken out"),
+    )
+    .retry_after_ms(RETRY_AFTER_MS)
+}
+
+/// The budget of retries is used up.
+pub fn no_retry_left(attempt: u32) -> Refusal {
+    Refusal::not_run(
+        Code::Overloaded,
+        Remedy::Wait,
+        format!("attempt {attempt} would exceed the budget of retries"),
+    )
+    .retry_after_ms(RETRY_AFTER_MS)
+}
+
+/// The queue is full and this call is wanted least.
+pub fn queue_full(limit: usize) -> Refusal {
+    Refusal::not_run(
+        Code::Overloaded,
+        Remedy::AnotherHost,
+        format!("{limit} calls wait already"),
+    )
+    .retry_after_ms(RETRY_AFTER_MS)
+}
+
+/// The deadline can't be met, as known when the call was offered.
+pub fn deadline(left_ms: u64, wait_ms: u64, run_ms: u64, later_ms: u64) -> Refusal {
+    Refusal::not_run(
+        Code::Deadline,
+        Remedy::AnotherHost,
+        format!(
+            "{left_ms} ms are left, but the queue takes {wait_ms} ms, this stage {run_ms} ms \
+             and later stages {later_ms} ms"
+        ),
+    )
+    .retry_after_ms(wait_ms.max(1))
+}
+
+/// The deadline can't be met any more, as found while the call waited.
+pub fn late(now: Instant, waiting: &Waiting, queued: usize, slots: u64) -> Refusal {
+    let waited_ms = now.since_ms(waiting.offered_at);
+    let left_ms = waiting.call.deadline.since_ms(now);
+    let need_ms = waiting.call.deadline.since_ms(waiting.latest);
+    Refusal::not_run(
+        Code::Deadline,
+        Remedy::AnotherHost,
+        format!(
+            "{left_ms} ms are left after {waited_ms} ms in the queue, but {need_ms} ms are \
+             needed; {queued} calls wait for {slots} slots"
+        ),
+    )
+    .retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/src/core/routing/roster.rs
@@ -0,0 +1,118 @@
+//! The rosters under which a host's share counts, with those whose calls may still run.
+//!
+//! A share is the smallest under all of them: see `docs/capacity-shares.md`.
+
+use crate::{
+    core::{
+        host::Id,
+        view::View, //
+    },
+    time::Instant,
+};
+
+/// Longest time for which a closed roster is remembered, in milliseconds.
+const KEEP_MS: u64 = 600_000;
+
+/// A roster that was closed while a member of it may have left calls behind.
+#[derive(Clone, Debug)]
+struct Held {
+    closed_at: Instant,
+    /// Its members, nothing where they aren't known.
+    members: Option<Vec<Id>>,
+}
+
+/// All rosters that this host has to respect.
+#[derive(Default)]
+pub struct History {
+    version: u64,
+    epoch: Option<u64>,
+    current: Vec<Id>,
+    previous: Vec<Id>,
+    held: Vec<Held>,
+}
+
+impl History {
+    /// Takes the rosters of a view. Costs little where they are the ones known.
+    pub fn observe(&mut self, now: Instant, view: &View) {
+        let same = self.epoch == Some(view.roster.epoch)
+            && self.previous.len() == view.previous_roster.members.len()
+            && self.current.len() == view.roster.members.len();
+        if same {
+            return;
+        }
+        self.version += 1;
+        self.held
+            .retain(|held| now.since_ms(held.closed_at) < KEEP_MS);
+        for members in self.closed(view) {
+            self.held.push(Held {
+                closed_at: now,
+                members,
+            });
+        }
+        self.epoch = Some(view.roster.epoch);
+        self.current.clone_from(&view.roster.members);
+        self.previous.clone_from(&view.previous_roster.members);
+    }
+
+    /// Returns a number that changes with the rosters.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the rosters that count at a time, and when the first of them stops to count.
+    ///
+    /// Nothing stands for a roster whose members aren't known, so that no share is safe.
+    pub fn counting(
+        &self,
+        now: Instant,
+        call_timeout_ms: u64,
+    ) -> (Vec<Option<&[Id]>>, Option<Instant>) {
+        let mut rosters = vec![Some(self.current.as_slice())];
+        if !self.previous.is_empty() {
+            rosters.push(Some(&self.previous));
+        }
+        let mut until = None;
+        for held in &self.held {
+            let end = held.closed_at.after_ms(call_timeout_ms);
+            if end > now {
+                rosters.push(held.members.as_deref());
+                until = Some(until.map_or(end, |until: Instant| until.min(end)));
+            }
+        }
+        (rosters, until)
+    }
+
+    /// Returns the rosters that a view closes while calls of their members may still run.
+    fn closed(&self, view: &View) -> Vec<Option<Vec<Id>>> {
+        let Some(epoch) = self.epoch else {
+            // The first roster of all has no forerunner, whose calls could still run.
+            let first = view.roster.epoch <= 1 || !view.previous_roster.members.is_empty();
+            return if first { Vec::new() } else { vec![None] };
+        };
+        if view.roster.epoch > epoch + 1 && epoch > 0 {
+            return vec![None];
+        }
+        let mut closed = Vec::new();
+        for members in [&self.previous, &self.current] {
+            let counts = *members == view.roster.members
+                || *members == view.previous_roster.members
+                || members.is_empty();
+            if !counts && left_calls(members, view) {
+                closed.push(Some(members.clone()));
+            }
+        }
+        closed
+    }
+}
+
+/// Returns whether a member of a closed roster may have left calls that run on.
+fn left_calls(members: &[Id], view: &View) -> bool {
+    let epoch = view.roster.epoch;
+    members.iter().any(|id| {
+        let stays = *id == view.own.id || view.roster.members.contains(id);
+        let shrank = view
+            .member(id)
+            .is_some_and(|member| member.roster_seen >= epoch);
+        !stays && !shrank
+    })
+}
--- /dev/null
+++ b/src/core/routing/server.rs
@@ -0,0 +1,265 @@
+//! What one host knows of one backend server, and how many calls it may have there.
+
+use std::collections::BTreeSet;
+
+use super::{
+    limit::{
+        Bounds,
+        Limit, //
+    },
+    roster::History,
+    share::Place, //
+};
+use crate::{
+    core::{
+        call::{
+            Load,
+            Start, //
+        },
+        host::Id,
+    },
+    names::Name,
+    time::Instant,
+};
+
+/// Age at which a load report isn't used any more, in milliseconds.
+const LOAD_STALE_MS: u64 = 3_000;
+
+/// Shortest wait after a failed connection, in milliseconds.
+const BACKOFF_MS: u64 = 100;
+
+/// Number of doublings of that wait.
+const BACKOFF_DOUBLINGS: u32 = 5;
+
+/// Scale of the failure rate: all calls fail.
+pub const FAILURE_SCALE: u32 = 1_024;
+
+/// Part of the failure rate that one call replaces, as a shift.
+const FAILURE_SHIFT: u32 = 4;
+
+/// Where a server stands as seen from this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same data centre.
+    DataCentre,
+    /// In another data centre of the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// A call that ended for this host and may run on at the server.
+#[derive(Clone, Copy, Debug)]
+struct Lingering {
+    until: Instant,
+    /// The life in which it surely ran.
+    start: Option<Start>,
+}
+
+/// What one host knows of one backend server.
+pub struct Server {
+    /// Its name.
+    pub name: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// Where it stands.
+    pub distance: Distance,
+    /// Price of a gigabyte to and from it, in thousandths of the operators' unit.
+    pub egress_price_milli: u64,
+    /// Whether the document lists it.
+    pub listed: bool,
+    /// The belief about what it carries.
+    pub limit: Limit,
+    /// Calls of this host that run there.
+    pub in_flight: u32,
+    /// Models that it can serve, nothing where it never said.
+    pub models: Option<BTreeSet<Name>>,
+    /// Part of calls that fail, of [`FAILURE_SCALE`].
+    pub failure: u32,
+    /// No calls are sent before this.
+    pub backoff_until: Instant,
+    /// Position among the servers with room.
+    pub open_at: Option<usize>,
+    /// Typical time of a call, in milliseconds, 0 where unknown.
+    pub typical_ms: u64,
+    failures_in_row: u32,
+    lingering: Vec<Lingering>,
+    load: Option<(Load, Instant)>,
+    sent_since_load: u32,
+    in_flight_at_load: u32,
+    lent: u32,
+    places: Vec<Place>,
+    places_version: Option<u64>,
+    places_until: Option<Instant>,
+}
+
+impl Server {
+    /// Makes a server of which nothing is known.
+    pub fn new(name: Name, data_centre: Name) -> Self {
+        Self {
+            name,
+            data_centre,
+            distance: Distance::Far,
+            egress_price_milli: 0,
+            listed: true,
+            limit: Limit::new(),
+            in_flight: 0,
+            models: None,
+            failure: 0,
+            backoff_until: Instant::ZERO,
+            open_at: None,
+            typical_ms: 0,
+            failures_in_row: 0,
+            lingering: Vec::new(),
+            load: None,
+            sent_since_load: 0,
+            in_flight_at_load: 0,
+            lent: 0,
+            places: Vec::new(),
+            places_version: None,
+            places_until: None,
+        }
+    }
+
+    /// Computes this host's places anew where the rosters that count have changed.
+    pub fn place(
+        &mut self,
+        now: Instant,
+        pool: &str,
+        own: &Id,
+        rosters: &History,
+        timeout_ms: u64,
+    ) {
+        let expired = self.places_until.is_some_and(|until| until <= now);
+        if self.places_version == Some(rosters.version()) && !expired {
+            return;
+        }
+        let (counting, until) = rosters.counting(now, timeout_ms);
+        self.places = counting
+            .into_iter()
+            .map(|members| match members {
+                Some(members) => Place::of(own, pool, &self.name, members),
+                None => Place::NONE,
+            })
+            .collect();
+        self.places_version = Some(rosters.version());
+        self.places_until = until;
+    }
+
+    /// Returns this host's slots at a limit, the fewest under all rosters that count.
+    pub fn share(&self, limit: u32) -> u32 {
+        let shares = self.places.iter().map(|place| place.slots(limit));
+        shares.min().unwrap_or(0)
+    }
+
+    /// Returns how many calls this host may have on the server.
+    pub fn allowed(&self, bounds: &Bounds) -> u32 {
+        let limit = self.limit.slots(bounds);
+        let share = self.share(limit);
+        let member = self.places.iter().all(|place| place.rank.is_some());
+        if limit < bounds.full || self.limit.is_suspect() || !member {
+            return share;
+        }
+        (share + self.lent).min(bounds.full)
+    }
+
+    /// Returns how many calls of this host may run on the server.
+    pub fn used(&self) -> u32 {
+        self.in_flight + self.lingering.len() as u32
+    }
+
+    /// Returns whether one more call may be sent.
+    pub fn has_room(&self, now: Instant, bounds: &Bounds) -> bool {
+        self.listed && now >= self.backoff_until && self.used() < self.allowed(bounds)
+    }
+
+    /// Returns the number of calls on the server, from its last report and what was sent since.
+    pub fn estimated(&self, now: Instant) -> u32 {
+        let Some((load, at)) = self.load else {
+            return self.in_flight;
+        };
+        if now.since_ms(at) > LOAD_STALE_MS {
+            return self.in_flight;
+        }
+        let reported = load.running + load.waiting;
+        let others = reported.saturating_sub(self.in_flight_at_load);
+        (others + self.in_flight).max(self.in_flight + self.sent_since_load / 2)
+    }
+
+    /// Notes a call that is sent.
+    pub fn send(&mut self) {
+        self.in_flight += 1;
+        self.sent_since_load += 1;
+    }
+
+    /// Takes a load report. It never raises the limit: it may only lend room of a warm server.
+    pub fn report(&mut self, now: Instant, load: Load, bounds: &Bounds, hosts: u32, draw: u32) {
+        let newer = self.load.is_none_or(|(known, _)| {
+            known.start != load.start || known.sequence < load.sequence //
+        });
+        if !newer || self.limit.start() != Some(load.start) {
+            return;
+        }
+        self.load = Some((load, now));
+        self.sent_since_load = 0;
+        self.in_flight_at_load = self.in_flight;
+        let total = load.running + load.waiting;
+        if total >= bounds.full {
+            self.lent /= 2;
+            return;
+        }
+        // Each host lends itself its part of what is idle, so that all together never take more.
+        let idle = bounds.full - total;
+        let hosts = hosts.max(1);
+        let rest = u32::from(draw % hosts < idle % hosts);
+        self.lent = (self.lent + idle / hosts + rest).min(bounds.full);
+    }
+
+    /// Takes back what was lent, where no report justifies it any more.
+    pub fn fade(&mut self, now: Instant) {
+        let stale = self
+            .load
+            .is_none_or(|(_, at)| now.since_ms(at) > LOAD_STALE_MS);
+        if stale {
+            self.lent = 0;
+        }
+        self.lingering.retain(|call| call.until > now);
+    }
+
+    /// Forgets what was known of the life before.
+    pub fn turn_cold(&mut self) {
+        self.load = None;
+        self.lent = 0;
+        self.typical_ms = 0;
+        let start = self.limit.start();
+        self.lingering
+            .retain(|call| call.start.is_none() || call.start == start);
+    }
+
+    /// Keeps the slot of a call that may run on.
+    pub fn linger(&mut self, until: Instant, start: Option<Start>) {
+        self.lingering.push(Lingering { until, start });
+    }
+
+    /// Notes whether a call failed.
+    pub fn note_failure(&mut self, failed: bool) {
+        self.failure -= self.failure >> FAILURE_SHIFT;
+        if failed {
+            self.failure += FAILURE_SCALE >> FAILURE_SHIFT;
+        }
+    }
+
+    /// Notes that a connection failed: the next call waits.
+    pub fn back_off(&mut self, now: Instant, jitter: u64) {
+        let doublings = self.failures_in_row.min(BACKOFF_DOUBLINGS);
+        let base_ms = BACKOFF_MS << doublings;
+        self.failures_in_row += 1;
+        self.backoff_until = now.after_ms(base_ms / 2 + jitter % base_ms);
+    }
+
+    /// Notes that the server answers.
+    pub fn answers(&mut self) {
+        self.failures_in_row = 0;
+        self.backoff_until = Instant::ZERO;
+    }
+}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -2,4 +2,5 @@
 
 mod membership;
 mod roster;
+mod routing;
 mod time;
--- /dev/null
+++ b/tests/core/routing/limit.rs
@@ -0,0 +1,105 @@
+//! Tests of the belief about what a server carries.
+
+use teaselchute::{
+    core::routing::limit::{
+        Bounds,
+        Evidence,
+        Limit, //
+    },
+    time::Instant,
+};
+
+const BOUNDS: Bounds = Bounds {
+    cold: 4,
+    full: 32,
+    warm_up_ms: 10_000,
+};
+
+/// Returns a limit that rose to the full one in life 1, and the time.
+fn warm() -> (Limit, Instant) {
+    let mut limit = Limit::new();
+    limit.hear(1);
+    let mut now = Instant::ZERO;
+    for _ in 0..200 {
+        now = now.after_ms(100);
+        limit.reply(now, Some(1), now.before_ms(50), true, &BOUNDS);
+    }
+    assert!(limit.is_full(&BOUNDS));
+    (limit, now)
+}
+
+#[test]
+fn slots_unknown_server() {
+    assert_eq!(Limit::new().slots(&BOUNDS), 4);
+}
+
+#[test]
+fn reply_below_envelope() {
+    let mut limit = Limit::new();
+    limit.hear(1);
+    for ms in 0..10_000 {
+        let now = Instant::from_ms(ms);
+        limit.reply(now, Some(1), now, true, &BOUNDS);
+        assert!(u64::from(limit.slots(&BOUNDS)) <= 4 + 28 * ms / 10_000);
+    }
+}
+
+#[test]
+fn reply_not_good() {
+    let mut limit = Limit::new();
+    limit.hear(1);
+    limit.reply(Instant::ZERO, Some(1), Instant::ZERO, true, &BOUNDS);
+    let late = Instant::from_ms(60_000);
+    assert!(!limit.reply(late, Some(1), late, false, &BOUNDS));
+    assert_eq!(limit.slots(&BOUNDS), 4);
+}
+
+#[test]
+fn reply_sent_before_rise() {
+    let mut limit = Limit::new();
+    limit.hear(1);
+    limit.reply(Instant::ZERO, Some(1), Instant::ZERO, true, &BOUNDS);
+    let late = Instant::from_ms(60_000);
+    assert!(limit.reply(late, Some(1), late, true, &BOUNDS));
+    let slots = limit.slots(&BOUNDS);
+    limit.reply(late, Some(1), Instant::ZERO, true, &BOUNDS);
+    assert_eq!(limit.slots(&BOUNDS), slots);
+}
+
+#[test]
+fn hear_new_start() {
+    let (mut limit, _) = warm();
+    assert_eq!(limit.hear(2), Evidence::NewStart(2));
+    assert_eq!(limit.slots(&BOUNDS), 4);
+}
+
+#[test]
+fn hear_past_start() {
+    let (mut limit, now) = warm();
+    limit.hear(2);
+    assert_eq!(limit.hear(1), Evidence::Past);
+    assert!(!limit.reply(now, Some(1), now, true, &BOUNDS));
+    assert_eq!(limit.start(), Some(2));
+    assert_eq!(limit.slots(&BOUNDS), 4);
+}
+
+#[test]
+fn lose_until_same_start_replies() {
+    let (mut limit, now) = warm();
+    limit.lose();
+    assert_eq!(limit.slots(&BOUNDS), 4);
+    limit.reply(now, Some(1), now, true, &BOUNDS);
+    assert!(limit.is_full(&BOUNDS));
+}
+
+#[test]
+fn lose_no_start_told() {
+    let mut limit = Limit::new();
+    for ms in 0..60_000 {
+        let now = Instant::from_ms(ms);
+        limit.reply(now, None, now, true, &BOUNDS);
+    }
+    assert!(limit.is_full(&BOUNDS));
+    limit.lose();
+    assert_eq!(limit.slots(&BOUNDS), 4);
+}
--- /dev/null
+++ b/tests/core/routing/pool.rs
@@ -0,0 +1,311 @@
+//! Tests of one pool on one host, with the failures that it is made for.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
+
+use teaselchute::{
+    core::{
+        call::{
+            self,
+            End,
+            Load, //
+        },
+        refusal::{
+            Code,
+            Run, //
+        },
+        routing::{
+            Action,
+            Event,
+            Pool, //
+        },
+        state::Target,
+        view::View, //
+    },
+    names::Name,
+    time::Instant,
+};
+
+use super::{
+    document,
+    id,
+    pool,
+    some_call,
+    view, //
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_ms(ms)
+}
+
+/// Offers calls and returns the ids that were sent, with their servers.
+fn offer(
+    pool: &mut Pool,
+    view: &View,
+    now: Instant,
+    ids: std::ops::Range<u64>,
+) -> Vec<(u64, Name)> {
+    let actions = ids.flat_map(|number| {
+        let mut call = some_call(number);
+        call.deadline = now.after_ms(4_000);
+        pool.step(now, view, Event::Offer(call))
+    });
+    sent(actions)
+}
+
+fn sent(actions: impl IntoIterator<Item = Action>) -> Vec<(u64, Name)> {
+    let sends = actions.into_iter().filter_map(|action| match action {
+        Action::Send { call, server } => Some((call.id.0, server)),
+        _ => None,
+    });
+    sends.collect()
+}
+
+fn end(pool: &mut Pool, view: &View, now: Instant, call: &(u64, Name), start: u64, end: End) {
+    let ended = Event::Ended {
+        call: call::Id(call.0),
+        server: call.1.clone(),
+        start: Some(start),
+        end,
+    };
+    pool.step(now, view, ended);
+}
+
+fn answered() -> End {
+    End::Answered(Arc::from(&b"answer"[..]))
+}
+
+/// Answers calls one after the other until the only server is taken as warm.
+fn warm(pool: &mut Pool, view: &View) -> Instant {
+    let mut now = at(0);
+    for number in 0..400 {
+        let call = &offer(pool, view, now, 10_000 + number..10_001 + number)[0];
+        now = now.after_ms(50);
+        end(pool, view, now, call, 1, answered());
+    }
+    now
+}
+
+#[test]
+fn offer_cold_within_share() {
+    let view = view(0, 1, document(1, 4, 32));
+    assert_eq!(offer(&mut pool(), &view, at(0), 0..20).len(), 4);
+}
+
+#[test]
+fn offer_cold_sum_over_hosts() {
+    let sum: usize = (0..9)
+        .map(|own| {
+            let view = view(own, 9, document(1, 4, 32));
+            offer(&mut pool(), &view, at(0), 0..20).len()
+        })
+        .sum();
+    assert_eq!(sum, 4);
+}
+
+#[test]
+fn offer_not_on_roster() {
+    let view = view(9, 9, document(1, 100, 100));
+    assert!(offer(&mut pool(), &view, at(0), 0..20).is_empty());
+}
+
+#[test]
+fn offer_two_rosters_smaller_share() {
+    let mut view = view(9, 10, document(1, 100, 100));
+    view.roster.epoch = 2;
+    view.previous_roster.epoch = 1;
+    view.previous_roster.members = (0..9).map(id).collect();
+    assert!(offer(&mut pool(), &view, at(0), 0..20).is_empty());
+}
+
+#[test]
+fn offer_after_member_gone_waits_call_timeout() {
+    let mut pool = pool();
+    let mut view = view(0, 2, document(1, 10, 10));
+    assert_eq!(offer(&mut pool, &view, at(0), 0..20).len(), 5);
+    view.previous_roster = view.roster.clone();
+    view.roster.epoch = 2;
+    view.roster.members = vec![id(0)];
+    pool.step(at(10), &view, Event::Tick);
+    view.previous_roster.members.clear();
+    assert!(sent(pool.step(at(20), &view, Event::Tick)).is_empty());
+    // The calls of the one who is gone run 5 s at most.
+    pool.step(at(1_000), &view, Event::Tick);
+    for number in 100..120 {
+        let mut call = some_call(number);
+        call.deadline = at(60_000);
+        assert!(sent(pool.step(at(1_000), &view, Event::Offer(call))).is_empty());
+    }
+    assert!(sent(pool.step(at(5_019), &view, Event::Tick)).is_empty());
+    assert!(!sent(pool.step(at(5_020), &view, Event::Tick)).is_empty());
+}
+
+#[test]
+fn offer_drained() {
+    let mut view = view(0, 1, document(1, 4, 32));
+    let target = Target::DataCentre(Name::from("almaty-a"));
+    view.drained = BTreeSet::from([target]);
+    let actions = pool().step(at(0), &view, Event::Offer(some_call(1)));
+    let [Action::Refuse { refusal, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!((refusal.run, refusal.code), (Run::NotRun, Code::NoServer));
+}
+
+#[test]
+fn offer_avoided_server() {
+    let view = view(0, 1, document(2, 4, 32));
+    for seed in 0..20 {
+        let mut call = some_call(seed);
+        call.avoid = vec![Name::from("s0")];
+        let sent = sent(pool().step(at(0), &view, Event::Offer(call)));
+        assert_eq!(&*sent[0].1, "s1");
+    }
+}
+
+#[test]
+fn offer_retry_without_budget() {
+    let view = view(0, 1, document(2, 4, 32));
+    let mut retry = some_call(1);
+    retry.attempt = 1;
+    let actions = pool().step(at(0), &view, Event::Offer(retry));
+    let [Action::Refuse { refusal, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(refusal.code, Code::Overloaded);
+}
+
+#[test]
+fn offer_deadline_passed_in_queue() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 1, 1));
+    offer(&mut pool, &view, at(0), 0..2);
+    let actions = pool.step(at(4_000), &view, Event::Tick);
+    let [Action::Refuse { call, refusal }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(call.0, 1);
+    assert_eq!((refusal.run, refusal.code), (Run::NotRun, Code::Deadline));
+}
+
+#[test]
+fn offer_warm_server() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let now = warm(&mut pool, &view);
+    assert_eq!(offer(&mut pool, &view, now, 0..60).len(), 32);
+}
+
+#[test]
+fn ended_new_start_turns_cold() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let now = warm(&mut pool, &view);
+    let sent = offer(&mut pool, &view, now, 0..1);
+    let ended = Event::Ended {
+        call: call::Id(0),
+        server: sent[0].1.clone(),
+        start: Some(2),
+        end: answered(),
+    };
+    let actions = pool.step(now, &view, ended);
+    let told = |action: &Action| matches!(action, Action::TellCold { start: 2, .. });
+    assert!(actions.iter().any(told));
+    assert_eq!(offer(&mut pool, &view, now, 1..60).len(), 4);
+}
+
+#[test]
+fn notice_turns_cold_and_is_not_passed_on() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let now = warm(&mut pool, &view);
+    let notice = Event::ColdNotice {
+        server: Name::from("s0"),
+        start: 2,
+    };
+    let actions = pool.step(now, &view, notice);
+    let told = |action: &Action| matches!(action, Action::TellCold { .. });
+    assert!(!actions.iter().any(told));
+    assert_eq!(offer(&mut pool, &view, now, 0..60).len(), 4);
+}
+
+#[test]
+fn load_late_report_of_past_life() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let now = warm(&mut pool, &view);
+    let server = Name::from("s0");
+    let load = |start, sequence| Event::Load {
+        server: server.clone(),
+        load: Load {
+            start,
+            sequence,
+            running: 0,
+            waiting: 0,
+        },
+    };
+    pool.step(now, &view, load(2, 1));
+    for sequence in 0..100 {
+        pool.step(now.after_ms(sequence), &view, load(1, 500 + sequence));
+        pool.step(now.after_ms(sequence), &view, load(2, 2 + sequence));
+    }
+    assert_eq!(offer(&mut pool, &view, now.after_ms(100), 0..60).len(), 4);
+}
+
+#[test]
+fn ended_lost_keeps_slot_until_call_timeout() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let calls = offer(&mut pool, &view, at(0), 0..4);
+    for call in &calls {
+        let ended = Event::Ended {
+            call: call::Id(call.0),
+            server: call.1.clone(),
+            start: None,
+            end: End::Lost,
+        };
+        pool.step(at(100), &view, ended);
+    }
+    // The server may still run them, 5 s from when they were sent.
+    assert!(offer(&mut pool, &view, at(4_900), 10..20).is_empty());
+    assert!(sent(pool.step(at(4_950), &view, Event::Tick)).is_empty());
+    assert_eq!(sent(pool.step(at(5_050), &view, Event::Tick)).len(), 4);
+}
+
+#[test]
+fn has_shrunk_calls_above_new_share() {
+    let mut pool = pool();
+    let mut view = view(0, 1, document(1, 4, 32));
+    let sent = offer(&mut pool, &view, at(0), 0..4);
+    view.previous_roster = view.roster.clone();
+    view.roster.epoch = 2;
+    view.roster.members = vec![id(0), id(1)];
+    assert!(!pool.has_shrunk(&view));
+    for call in &sent[..2] {
+        end(&mut pool, &view, at(10), call, 1, answered());
+    }
+    assert!(pool.has_shrunk(&view));
+    assert!(offer(&mut pool, &view, at(20), 10..20).is_empty());
+}
+
+#[test]
+fn cancel_sent_call() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    offer(&mut pool, &view, at(0), 0..1);
+    let actions = pool.step(at(1), &view, Event::Cancel(call::Id(0)));
+    assert!(matches!(actions.as_slice(), [Action::Abort { .. }]));
+}
+
+#[test]
+fn costs_add_up() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let sent = offer(&mut pool, &view, at(0), 0..1);
+    end(&mut pool, &view, at(100), &sent[0], 1, answered());
+    let account = pool.costs().values().next().unwrap();
+    assert_eq!((account.calls, account.answered), (1, 1));
+    assert_eq!((account.run_ms, account.price_micro), (100, 1_000));
+}
--- /dev/null
+++ b/tests/core/routing/queue.rs
@@ -0,0 +1,139 @@
+//! Tests of the queue.
+
+use teaselchute::{
+    core::{
+        call,
+        routing::queue::{
+            Queue,
+            Waiting, //
+        },
+    },
+    names::Name,
+    time::Instant,
+};
+
+use super::some_call;
+
+fn waiting(number: u64, priority: u8, organisation: &str) -> Waiting {
+    let mut call = some_call(number);
+    call.priority = priority;
+    call.request.organisation = Name::from(organisation);
+    Waiting {
+        latest: call.deadline,
+        call,
+        offered_at: Instant::ZERO,
+        weight: 1,
+    }
+}
+
+fn pop(queue: &mut Queue) -> Option<u64> {
+    queue.pop().map(|waiting| waiting.call.id.0)
+}
+
+#[test]
+fn pop_priority_first() {
+    let mut queue = Queue::default();
+    queue.push(waiting(1, 2, "o1"));
+    queue.push(waiting(2, 0, "o1"));
+    assert_eq!(pop(&mut queue), Some(2));
+    assert_eq!(pop(&mut queue), Some(1));
+}
+
+#[test]
+fn pop_earliest_deadline() {
+    let mut queue = Queue::default();
+    let mut later = waiting(1, 1, "o1");
+    later.call.deadline = Instant::from_ms(5_000);
+    queue.push(later);
+    queue.push(waiting(2, 1, "o1"));
+    assert_eq!(pop(&mut queue), Some(2));
+}
+
+#[test]
+fn pop_flood_beside_small() {
+    let mut queue = Queue::default();
+    for number in 0..100 {
+        queue.push(waiting(number, 1, "flood"));
+    }
+    queue.push(waiting(100, 1, "small"));
+    let first: Vec<_> = (0..2).filter_map(|_| pop(&mut queue)).collect();
+    assert!(first.contains(&100));
+}
+
+#[test]
+fn pop_weighted() {
+    let mut queue = Queue::default();
+    for number in 0..100 {
+        queue.push(waiting(number, 1, "light"));
+        let mut heavy = waiting(1_000 + number, 1, "heavy");
+        heavy.weight = 3;
+        queue.push(heavy);
+    }
+    let heavy = (0..40).filter(|_| pop(&mut queue) >= Some(1_000)).count();
+    assert!((29..=31).contains(&heavy), "{heavy}");
+}
+
+#[test]
+fn pop_least_urgent_does_not_starve() {
+    let mut queue = Queue::default();
+    for number in 0..100 {
+        queue.push(waiting(number, 0, "o1"));
+    }
+    queue.push(waiting(100, 9, "o1"));
+    assert!((0..20).any(|_| pop(&mut queue) == Some(100)));
+}
+
+#[test]
+fn evict_from_flood() {
+    let mut queue = Queue::default();
+    queue.push(waiting(1, 1, "small"));
+    for number in 2..10 {
+        queue.push(waiting(number, 1, "flood"));
+    }
+    let evicted = queue.evict().unwrap();
+    assert_eq!(&*evicted.call.request.organisation, "flood");
+}
+
+#[test]
+fn evict_late_wanted() {
+    let mut queue = Queue::default();
+    let mut plan = waiting(1, 9, "o1");
+    plan.call.late_answer_wanted = true;
+    queue.push(plan);
+    assert!(queue.evict().is_none());
+}
+
+#[test]
+fn expire_late_wanted() {
+    let mut queue = Queue::default();
+    let mut plan = waiting(1, 1, "o1");
+    plan.call.late_answer_wanted = true;
+    queue.push(plan);
+    queue.push(waiting(2, 1, "o1"));
+    let now = Instant::from_ms(4_000);
+    assert_eq!(queue.expire(now).map(|waiting| waiting.call.id.0), Some(2));
+    assert!(queue.expire(now).is_none());
+    assert_eq!(pop(&mut queue), Some(1));
+}
+
+#[test]
+fn remove_last_of_class() {
+    let mut queue = Queue::default();
+    queue.push(waiting(1, 1, "o1"));
+    assert!(queue.remove(call::Id(1)).is_some());
+    assert!(queue.is_empty());
+    assert!(queue.pop().is_none());
+}
+
+#[test]
+fn put_back_keeps_turn() {
+    let mut queue = Queue::default();
+    queue.push(waiting(1, 1, "a"));
+    queue.push(waiting(2, 1, "a"));
+    queue.push(waiting(3, 1, "b"));
+    let first = queue.pop().unwrap();
+    let id = first.call.id;
+    queue.put_back(first, Instant::ZERO);
+    assert_eq!(queue.len(), 3);
+    assert_eq!(queue.pop().unwrap().call.id, id);
+}
