--- a/src/core/document/mod.rs
+++ b/src/core/document/mod.rs
@@ -17,6 +17,10 @@
 
 use crate::names::Name;
 
+mod edit;
+
+pub use edit::diff;
+
 /// What operators want of one environment.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -114,13 +114,13 @@
         let state = self.replica.state();
         let document = match state.environments.get(&self.environment) {
             Some(environment) => environment.document.clone(),
-            None => Document::default(),
+            None => Arc::new(Document::default()),
         };
         View {
             own: self.own.clone(),
             serving: self.replica.is_current(),
             leaving: self.leaving || self.membership.is_over(),
-            document: Arc::new(document),
+            document,
             position: self.replica.position(),
             fresh_at: self.replica.fresh_at(),
             drained: state.drained.keys().cloned().collect(),
--- /dev/null
+++ b/src/core/replica/tail.rs
@@ -0,0 +1,52 @@
+//! The newest applied records, from which other hosts are served and histories compared.
+
+use std::collections::VecDeque;
+
+use super::message::Item;
+use crate::core::log::Offset;
+
+/// Most records that are kept.
+const LIMIT: usize = 1_024;
+
+/// The newest applied records, contiguous, all of one generation.
+#[derive(Default)]
+pub(super) struct Tail {
+    items: VecDeque<Item>,
+}
+
+impl Tail {
+    /// Adds the record after the newest.
+    pub(super) fn push(&mut self, item: Item) {
+        let contiguous = match self.items.back() {
+            Some(last) => last.offset + 1 == item.offset,
+            None => true,
+        };
+        assert!(contiguous, "invariant: records are applied in their order");
+        self.items.push_back(item);
+        if self.items.len() > LIMIT {
+            self.items.pop_front();
+        }
+    }
+
+    /// Drops all, since the state was replaced as a whole.
+    pub(super) fn clear(&mut self) {
+        self.items.clear();
+    }
+
+    /// Returns at most `limit` records from an offset on, nothing where that one isn't kept.
+    pub(super) fn from(&self, offset: Offset, limit: usize) -> Vec<Item> {
+        let Some(first) = self.items.front().map(|item| item.offset) else {
+            return Vec::new();
+        };
+        let Some(skip) = offset.checked_sub(first) else {
+            return Vec::new();
+        };
+        let items = self.items.iter().skip(skip as usize).take(limit);
+        items.cloned().collect()
+    }
+
+    /// Iterates over the records, oldest first.
+    pub(super) fn iter(&self) -> impl DoubleEndedIterator<Item = &Item> {
+        self.items.iter()
+    }
+}
--- a/src/core/state/mod.rs
+++ b/src/core/state/mod.rs
@@ -3,7 +3,10 @@
 //! All hosts apply the same rule to the same offsets, so they reach the same verdicts: see
 //! `docs/configuration-design.md`.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
 
 use serde::{
     Deserialize,
@@ -23,6 +26,11 @@
     names::Name,
 };
 
+mod apply;
+mod verdicts;
+
+pub use verdicts::Verdicts;
+
 /// A point in the log's order. A higher generation comes after a log that lost records.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -34,6 +42,16 @@
     pub next: Offset,
 }
 
+/// Bits of a fencing number that hold the offset, below the generation.
+const FENCE_OFFSET_BITS: u32 = 48;
+
+impl Position {
+    /// Returns a fencing number that rises also where a log came back shorter.
+    pub fn fence(self) -> u64 {
+        self.generation << FENCE_OFFSET_BITS | self.next
+    }
+}
+
 /// A change of configuration, as its operator sent it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -81,6 +99,25 @@
     Claim(orders::Claim),
     /// The whole state, so that older records may be forgotten.
     Snapshot(Box<Snapshot>),
+    /// The whole state again, after the log lost records that hosts had applied.
+    Anchor(Box<Anchor>),
+}
+
+impl Record {
+    /// Returns the id by which its operator learns the outcome, where it has one.
+    pub fn id(&self) -> Option<&Name> {
+        match self {
+            Self::Change(change) => Some(&change.id),
+            Self::Drain { id, .. } => Some(id),
+            _ => None,
+        }
+    }
+
+    /// Returns a digest of the whole record, by which hosts see that they hold the same log.
+    pub fn digest(&self) -> u64 {
+        let bytes = postcard::to_stdvec(self).expect("records encode");
+        xxhash_rust::xxh3::xxh3_64(&bytes)
+    }
 }
 
 /// The whole state at a position.
@@ -88,10 +125,32 @@
 pub struct Snapshot {
     /// Position that the state stands for.
     pub position: Position,
+    /// Digest of the last record before the position, 0 for none.
+    pub last: u64,
     /// The state.
     pub state: State,
 }
 
+/// A new beginning for a log that lost records. It counts only at the offset that it names.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Anchor {
+    /// Generation that begins.
+    pub generation: u64,
+    /// Offset at which the log ended when the anchor was made.
+    pub at: Offset,
+    /// The state that goes on.
+    pub snapshot: Snapshot,
+}
+
+impl Anchor {
+    /// Returns whether the anchor counts at the offset at which it landed.
+    ///
+    /// Nothing landed between the look at the whole log and the anchor, then.
+    pub fn counts_at(&self, offset: Offset) -> bool {
+        offset == self.at && self.generation > self.snapshot.position.generation
+    }
+}
+
 /// A roster of entry hosts and the epoch at which it was accepted.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
@@ -106,8 +165,8 @@
 pub struct Environment {
     /// Number of changes accepted so far.
     pub revision: u64,
-    /// The document.
-    pub document: Document,
+    /// The document, shared with the views that requests read.
+    pub document: Arc<Document>,
 }
 
 /// What became of a record.
@@ -117,6 +176,8 @@
     Accepted(Position),
     /// It has no effect and never will, for this reason.
     Void(Name),
+    /// It has no effect here, but its verdict may have been given long ago and been forgotten.
+    Forgotten,
 }
 
 /// The state that all hosts agree on.
@@ -133,5 +194,7 @@
     /// Claims on model engines.
     pub claims: orders::Table,
     /// Verdicts on recent changes by id.
-    pub verdicts: BTreeMap<Name, Verdict>,
+    pub verdicts: Verdicts,
+    /// Position from which the current generation was anchored.
+    pub anchored_from: Position,
 }
