Run replicas under the driver and bring about each failure of the log

Conclusion: 16 tests of lost answers, late appends, outages, cuts, a shorter log, a log that split and of new hosts pass.

--- a/examples/driver/mod.rs
+++ b/examples/driver/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each example uses its own part of the driver")]
 
 pub mod log;
+pub mod replicas;
 pub mod server;
 pub mod world;
 
--- a/examples/driver/world/platform.rs
+++ b/examples/driver/world/platform.rs
@@ -157,5 +157,6 @@
         }
         Record::Claim(claim) => format!("claim of {}", claim.group),
         Record::Snapshot(snapshot) => format!("snapshot at {:?}", snapshot.position),
+        Record::Anchor(anchor) => format!("anchor of generation {}", anchor.generation),
     }
 }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -1,6 +1,10 @@
 //! Tests of the pure core, one module for each module of the core.
 
+#[path = "../../examples/driver/mod.rs"]
+mod driver;
+
 mod membership;
+mod replica;
 mod roster;
 mod routing;
 mod time;
--- /dev/null
+++ b/tests/core/replica.rs
@@ -0,0 +1,327 @@
+//! Tests of the replica: each names the failure that it brings about.
+
+use teaselchute::{
+    core::{
+        document::{
+            Edit,
+            Policies, //
+        },
+        replica::{
+            Answer,
+            Policy, //
+        },
+        state::{
+            Change,
+            Record,
+            Target,
+            Verdict, //
+        },
+    },
+    names::Name, //
+};
+
+use crate::driver::{
+    Network,
+    Process,
+    replicas::Replicas, //
+};
+
+fn replicas(hosts: usize) -> Replicas {
+    let mut replicas = Replicas::new(1, hosts, Policy::default(), Network::default());
+    replicas.run_ms(3_000);
+    replicas
+}
+
+fn change(id: &str, based_on: u64, retry_percent: u32) -> Record {
+    Record::Change(Change {
+        id: id.into(),
+        environment: "production".into(),
+        based_on,
+        edits: vec![Edit::Policies(Policies {
+            retry_percent,
+            ..Policies::default()
+        })],
+    })
+}
+
+fn drain(id: &str, out: bool) -> Record {
+    Record::Drain {
+        id: id.into(),
+        target: Target::DataCentre("data-centre-0".into()),
+        out,
+    }
+}
+
+fn retry_percent(replicas: &Replicas, process: Process) -> u32 {
+    let environments = &replicas.node(process).state().environments;
+    environments["production"].document.policies.retry_percent
+}
+
+fn is_accepted(answer: Option<&Answer>) -> bool {
+    matches!(answer, Some(Answer::Verdict(Verdict::Accepted(_))))
+}
+
+fn is_void(answer: Option<&Answer>) -> bool {
+    matches!(answer, Some(Answer::Verdict(Verdict::Void(_))))
+}
+
+#[test]
+fn propose_accepted_everywhere() {
+    let mut replicas = replicas(9);
+    let asker = replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(2_000);
+    assert!(is_accepted(replicas.answers.get(&asker)));
+    for process in 0..9 {
+        assert_eq!(retry_percent(&replicas, process), 7);
+    }
+}
+
+#[test]
+fn propose_racing_operators() {
+    let mut replicas = replicas(9);
+    let first = replicas.propose(0, change("a", 0, 7));
+    let second = replicas.propose(1, change("b", 0, 8));
+    replicas.run_ms(3_000);
+    let answers = [first, second].map(|asker| replicas.answers.get(&asker));
+    let accepted = answers.iter().filter(|answer| is_accepted(**answer));
+    let void = answers.iter().filter(|answer| is_void(**answer));
+    assert_eq!((accepted.count(), void.count()), (1, 1));
+}
+
+#[test]
+fn propose_lost_answer() {
+    let mut replicas = replicas(9);
+    replicas.log_faults.lost_permille = 1_000;
+    let asker = replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(3_000);
+    assert!(is_accepted(replicas.answers.get(&asker)));
+}
+
+#[test]
+fn propose_late_append() {
+    let mut replicas = replicas(9);
+    replicas.log_faults.late_permille = 1_000;
+    let late = replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(200);
+    replicas.log_faults.late_permille = 0;
+    let quick = replicas.propose(1, change("b", 0, 8));
+    replicas.run_ms(30_000);
+    assert!(is_accepted(replicas.answers.get(&quick)));
+    assert!(is_void(replicas.answers.get(&late)));
+    assert_eq!(retry_percent(&replicas, 5), 8);
+}
+
+#[test]
+fn propose_log_down() {
+    let mut replicas = replicas(9);
+    replicas.log.down = true;
+    let asker = replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(15_000);
+    assert_eq!(replicas.answers.get(&asker), Some(&Answer::Unknown));
+}
+
+#[test]
+fn spread_reaches_hosts_without_log() {
+    let mut replicas = replicas(9);
+    let (platform, far) = (replicas.driver.place(9), replicas.driver.place(1));
+    replicas.driver.cut(far, platform, 60_000);
+    // Hosts of the third region reach both the log's region and the one that is cut off from it.
+    replicas.propose(2, change("a", 0, 7));
+    replicas.run_ms(3_000);
+    assert_eq!(retry_percent(&replicas, 1), 7);
+}
+
+#[test]
+fn fresh_at_log_down() {
+    let mut replicas = replicas(9);
+    replicas.log.down = true;
+    replicas.run_ms(60_000);
+    let now = replicas.driver.now();
+    for process in 0..9 {
+        let age_ms = now.since_ms(replicas.node(process).fresh_at());
+        assert!(age_ms <= 4_500, "host {process}: {age_ms} ms");
+    }
+}
+
+#[test]
+fn fresh_at_region_cut_off() {
+    let mut replicas = replicas(9);
+    let places = [0, 1, 2].map(|process| replicas.driver.place(process));
+    for other in [0, 2] {
+        replicas.driver.cut(places[1], places[other], 60_000);
+        replicas.driver.cut(places[other], places[1], 60_000);
+    }
+    replicas.run_ms(10_000);
+    replicas.propose(0, drain("d", true));
+    replicas.run_ms(3_000);
+    let now = replicas.driver.now();
+    let cut_off = replicas.node(1);
+    assert!(cut_off.state().drained.is_empty());
+    assert!(now.since_ms(cut_off.fresh_at()) > 10_000);
+}
+
+#[test]
+fn current_log_down_by_peers() {
+    let mut replicas = replicas(9);
+    replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(2_000);
+    replicas.log.down = true;
+    replicas.run_ms(1_000);
+    for process in 0..9 {
+        replicas.crash(process);
+        replicas.run_ms(500);
+        replicas.start(process);
+        assert!(!replicas.node(process).is_current());
+        replicas.run_ms(10_000);
+        assert!(replicas.node(process).is_current());
+        assert_eq!(retry_percent(&replicas, process), 7);
+    }
+}
+
+#[test]
+fn current_nobody_answers() {
+    let mut replicas = replicas(9);
+    replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(2_000);
+    replicas.log.down = true;
+    for process in 0..9 {
+        replicas.crash(process);
+    }
+    for process in 0..9 {
+        replicas.start(process);
+    }
+    replicas.run_ms(30_000);
+    for process in 0..9 {
+        assert!(!replicas.node(process).is_current());
+    }
+    replicas.log.down = false;
+    replicas.run_ms(5_000);
+    for process in 0..9 {
+        assert!(replicas.node(process).is_current());
+        assert_eq!(retry_percent(&replicas, process), 7);
+    }
+}
+
+#[test]
+fn current_cut_off_with_few() {
+    let mut replicas = replicas(9);
+    replicas.log.down = true;
+    let places = [0, 1, 2].map(|process| replicas.driver.place(process));
+    for other in [0, 2] {
+        replicas.driver.cut(places[1], places[other], 60_000);
+        replicas.driver.cut(places[other], places[1], 60_000);
+    }
+    replicas.crash(1);
+    replicas.start(1);
+    replicas.run_ms(30_000);
+    assert!(!replicas.node(1).is_current());
+}
+
+#[test]
+fn retention_snapshot_in_time() {
+    let mut replicas = replicas(9);
+    replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(60_000);
+    replicas.log.forget(1);
+    replicas.run_ms(60_000);
+    for process in 0..9 {
+        replicas.crash(process);
+    }
+    replicas.run_ms(1_000);
+    for process in 0..9 {
+        replicas.start(process);
+    }
+    replicas.run_ms(5_000);
+    for process in 0..9 {
+        assert!(replicas.node(process).is_current());
+        assert_eq!(retry_percent(&replicas, process), 7);
+    }
+}
+
+#[test]
+fn log_shorter_nothing_reverts() {
+    let mut replicas = replicas(9);
+    for number in 0..5 {
+        let id = format!("change-{number}");
+        replicas.propose(0, change(&id, number, number as u32));
+        replicas.run_ms(1_500);
+    }
+    replicas.log.lose(2);
+    replicas.run_ms(20_000);
+    let asker = replicas.propose(3, change("after", 5, 9));
+    replicas.run_ms(5_000);
+    assert!(is_accepted(replicas.answers.get(&asker)));
+    for process in 0..9 {
+        let node = replicas.node(process);
+        assert!(node.is_current());
+        assert_eq!(node.position().generation, 1);
+        assert_eq!(node.state().revision(&Name::from("production")), 6);
+        assert_eq!(retry_percent(&replicas, process), 9);
+    }
+}
+
+#[test]
+fn log_shorter_member_silent() {
+    let mut replicas = replicas(9);
+    replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(2_000);
+    replicas.driver.pause(4, 30_000);
+    replicas.log.lose(1);
+    replicas.run_ms(20_000);
+    let asker = replicas.propose(3, change("b", 1, 9));
+    replicas.run_ms(1_000);
+    assert!(matches!(
+        replicas.answers.get(&asker),
+        Some(Answer::Unavailable(_))
+    ));
+    replicas.run_ms(30_000);
+    assert_eq!(replicas.node(3).position().generation, 1);
+    assert_eq!(retry_percent(&replicas, 4), 7);
+}
+
+#[test]
+fn log_shorter_new_host_does_not_trust_it() {
+    let mut replicas = replicas(9);
+    replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(2_000);
+    replicas.driver.pause(4, 10_000);
+    replicas.log.lose(1);
+    replicas.crash(0);
+    replicas.start(0);
+    for _ in 0..100 {
+        replicas.run_ms(200);
+        if replicas.node(0).is_current() {
+            assert_eq!(retry_percent(&replicas, 0), 7);
+        }
+    }
+    assert!(replicas.node(0).is_current());
+}
+
+#[test]
+fn log_split_is_brought_back() {
+    let mut replicas = replicas(9);
+    replicas.propose(0, change("a", 0, 7));
+    replicas.run_ms(3_000);
+    // Host 4 alone applies a change that the log then loses, and all others go on without it.
+    for process in (0..9).filter(|process| *process != 4) {
+        replicas.driver.pause(process, 3_000);
+    }
+    replicas.driver.network.loss_permille = 1_000;
+    replicas.propose(4, drain("lost", true));
+    replicas.run_ms(2_500);
+    replicas.driver.network.loss_permille = 0;
+    assert_eq!(replicas.node(4).state().drained.len(), 1);
+    replicas.driver.pause(4, 30_000);
+    replicas.log.lose(1);
+    replicas.append(drain("other", false));
+    replicas.append(change("b", 1, 8));
+    replicas.run_ms(20_000);
+    assert!(replicas.node(3).state().drained.is_empty());
+    replicas.run_ms(40_000);
+    for process in 0..9 {
+        let node = replicas.node(process);
+        assert!(node.is_current(), "host {process}");
+        assert_eq!(node.state().drained.len(), 1);
+        assert_eq!(retry_percent(&replicas, process), 8);
+    }
+}
