--- a/examples/driver/replicas.rs
+++ b/examples/driver/replicas.rs
@@ -239,6 +239,7 @@
                 health: Health::Alive,
                 roster_seen: 0,
                 generation: 0,
+                serving_since: Some(Instant::ZERO),
             })
             .collect();
         members.sort_by(|a, b| a.host.id.cmp(&b.host.id));
