Run orders through a witness, retry idempotent stages, keep and copy answers

Cause: the ledger offered one call per stage and knew no witness, no retry and no kept answer, so that a lost reply lost the request and a retry could run it twice.

An order now runs only at the home that its ticket names, after the witness acknowledged it. A retry elsewhere asks the home, and where that is silent has the witness seal the id. Stages that may repeat do so on another server, streams go on at the missing piece, and answers are kept within a byte budget and copied to another data centre. Not measured yet.

--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -172,6 +172,8 @@
     pub membership: membership::Policy,
     /// A fault in the core, for tests alone.
     pub mutation: Mutation,
+    /// How a non-idempotent request is kept from running twice.
+    pub outcome: outcome::Policy,
 }
 
 /// All parts of one host.
@@ -192,7 +194,8 @@
         let control = Control::new(own.clone(), environment, policies, seed);
         let view = RwLock::new(Arc::new(control.view()));
         let ledgers = (0..LEDGER_SHARDS)
-            .map(|shard| Mutex::new(outcome::ledger::Ledger::new(shard, LEDGER_SHARDS)))
+            .map(|shard| outcome::ledger::Ledger::new(shard, LEDGER_SHARDS, policies.outcome))
+            .map(Mutex::new)
             .collect();
         Self {
             own,
@@ -316,7 +319,7 @@
                 self.control(now, control::Event::Replica { from, message }, out);
             }
             Message::Outcome(message) => {
-                let shard = shard_of_message(&message);
+                let shard = shard_of_request(message.request());
                 let from = frame.from.id;
                 self.ledger(now, shard, outcome::Event::Message { from, message }, out);
             }
@@ -445,10 +448,3 @@
     let hash = xxhash_rust::xxh3::xxh3_64(request.id.as_bytes());
     (hash % LEDGER_SHARDS) as usize
 }
-
-fn shard_of_message(message: &outcome::Message) -> usize {
-    match message.request() {
-        Some(request) => shard_of_request(request),
-        None => 0,
-    }
-}
--- /dev/null
+++ b/src/core/outcome/answers.rs
@@ -0,0 +1,294 @@
+//! Kept answers and stage results, within a time and a byte budget.
+//!
+//! What is dropped first is the order of [`Class`], within a class the oldest. A dropped answer is
+//! remembered by its digest for a while, so that its caller is told the truth: see
+//! `docs/outcome-design.md`.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    VecDeque, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    Ask,
+    Subject, //
+};
+use crate::{
+    core::call::{
+        Body,
+        Request, //
+    },
+    time::Instant,
+};
+
+/// Time for which an answer is kept, in milliseconds.
+pub const KEEP_MS: u64 = 300_000;
+
+/// Bytes of answers that one host keeps, its own and copies for others.
+pub const BUDGET_BYTES: usize = 16 * 1024 * 1024;
+
+/// Bytes that an entry takes besides its names and bodies.
+const ENTRY_BYTES: usize = 512;
+
+/// Dropped answers that are remembered, in each store.
+const DROPPED_LIMIT: usize = 8_192;
+
+/// Digest of what was asked: subject and body.
+pub type Digest = [u8; 32];
+
+/// Returns the digest of a request's subject and body.
+pub fn digest(ask: &Ask) -> Digest {
+    let (kind, name) = match &ask.subject {
+        Subject::Pipeline(name) => (b'p', name),
+        Subject::Service(name) => (b's', name),
+    };
+    let mut hash = blake3::Hasher::new();
+    hash.update(&[kind]);
+    hash.update(&(name.len() as u64).to_le_bytes());
+    hash.update(name.as_bytes());
+    hash.update(&ask.body);
+    *hash.finalize().as_bytes()
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Pieces, where it was streamed.
+    pub pieces: Vec<Body>,
+    /// The body, where it was not.
+    pub body: Body,
+}
+
+impl Answer {
+    /// Returns the answer in one piece.
+    pub fn joined(&self) -> Body {
+        if self.pieces.is_empty() {
+            return self.body.clone();
+        }
+        self.pieces.concat().into()
+    }
+
+    fn bytes(&self) -> usize {
+        let per_piece = size_of::<Body>() + 2 * size_of::<usize>();
+        let pieces: usize = self.pieces.iter().map(|piece| piece.len()).sum();
+        pieces + self.pieces.len() * per_piece + self.body.len()
+    }
+}
+
+/// What is kept of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// The result of the newest finished stage.
+    Stage {
+        /// Index of the stage.
+        index: usize,
+        /// Its result.
+        body: Body,
+    },
+    /// The whole answer.
+    Whole(Answer),
+}
+
+impl Content {
+    /// Returns the bytes that it takes.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Stage { body, .. } => body.len(),
+            Self::Whole(answer) => answer.bytes(),
+        }
+    }
+
+    /// Returns a rank by which a later part replaces an earlier one.
+    fn rank(&self) -> usize {
+        match self {
+            Self::Stage { index, .. } => *index,
+            Self::Whole(_) => usize::MAX,
+        }
+    }
+}
+
+/// What an entry is worth when memory is short: the least is dropped first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Class {
+    /// A stage result: the stage can run again.
+    Stage,
+    /// A copy of another host's idempotent answer.
+    Copy,
+    /// An idempotent answer of this host.
+    Answer,
+    /// An answer to a non-idempotent request, which can't be had again.
+    Order,
+}
+
+/// One kept answer or stage result.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it is worth.
+    pub class: Class,
+    /// Digest of what was asked.
+    pub digest: Digest,
+    /// What is kept.
+    pub content: Content,
+    at: Instant,
+    bytes: usize,
+}
+
+/// The kept answers of one shard.
+pub struct Answers {
+    budget: usize,
+    bytes: usize,
+    entries: BTreeMap<Request, Entry>,
+    order: BTreeSet<(Class, Instant, Request)>,
+    dropped: VecDeque<u64>,
+    dropped_set: BTreeSet<u64>,
+    dropped_total: u64,
+}
+
+impl Answers {
+    /// Makes an empty store with a byte budget.
+    pub fn new(budget: usize) -> Self {
+        Self {
+            budget,
+            bytes: 0,
+            entries: BTreeMap::new(),
+            order: BTreeSet::new(),
+            dropped: VecDeque::new(),
+            dropped_set: BTreeSet::new(),
+            dropped_total: 0,
+        }
+    }
+
+    /// Keeps a part of a request and returns how many entries were dropped for it, itself included.
+    pub fn put(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        class: Class,
+        digest: Digest,
+        content: Content,
+    ) -> u64 {
+        let old = self.entries.get(request);
+        if old.is_some_and(|old| old.content.rank() > content.rank()) {
+            return 0;
+        }
+        self.remove(request);
+        let names = 2 * (request.id.len() + request.organisation.len());
+        let bytes = ENTRY_BYTES + names + content.bytes();
+        let before = self.dropped_total;
+        if bytes > self.budget {
+            self.count_dropped(request, &content);
+            return 1;
+        }
+        self.bytes += bytes;
+        let entry = Entry {
+            class,
+            digest,
+            content,
+            at: now,
+            bytes,
+        };
+        self.order.insert((class, now, request.clone()));
+        self.entries.insert(request.clone(), entry);
+        while self.bytes > self.budget {
+            self.drop_first();
+        }
+        assert!(
+            self.bytes <= self.budget,
+            "kept answers stay within their byte budget"
+        );
+        self.dropped_total - before
+    }
+
+    /// Returns what is kept of a request.
+    pub fn get(&self, request: &Request) -> Option<&Entry> {
+        self.entries.get(request)
+    }
+
+    /// Returns whether an answer to a request was kept here once and dropped, as far as that is
+    /// remembered.
+    pub fn was_dropped(&self, request: &Request) -> bool {
+        self.dropped_set.contains(&key(request))
+    }
+
+    /// Drops what was kept for its whole time.
+    pub fn expire(&mut self, now: Instant) {
+        let expired: Vec<Request> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| now.since_ms(entry.at) > KEEP_MS)
+            .map(|(request, _)| request.clone())
+            .collect();
+        for request in expired {
+            self.drop_entry(&request);
+        }
+    }
+
+    /// Returns all entries, sorted by request.
+    pub fn iter(&self) -> impl Iterator<Item = (&Request, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Returns the bytes in use.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the byte budget.
+    pub fn budget(&self) -> usize {
+        self.budget
+    }
+
+    /// Returns how many entries were dropped since the start, for age or for memory.
+    pub fn dropped(&self) -> u64 {
+        self.dropped_total
+    }
+
+    fn drop_first(&mut self) {
+        let Some((_, _, request)) = self.order.first().cloned() else {
+            return;
+        };
+        self.drop_entry(&request);
+    }
+
+    fn drop_entry(&mut self, request: &Request) {
+        if let Some(entry) = self.remove(request) {
+            self.count_dropped(request, &entry.content);
+        }
+    }
+
+    fn remove(&mut self, request: &Request) -> Option<Entry> {
+        let entry = self.entries.remove(request)?;
+        self.bytes -= entry.bytes;
+        self.order.remove(&(entry.class, entry.at, request.clone()));
+        Some(entry)
+    }
+
+    fn count_dropped(&mut self, request: &Request, content: &Content) {
+        self.dropped_total += 1;
+        // A dropped stage result doesn't mean that the request has an answer.
+        if matches!(content, Content::Stage { .. }) {
+            return;
+        }
+        let key = key(request);
+        if !self.dropped_set.insert(key) {
+            return;
+        }
+        self.dropped.push_back(key);
+        if self.dropped.len() > DROPPED_LIMIT {
+            let oldest = self.dropped.pop_front();
+            oldest.map(|oldest| self.dropped_set.remove(&oldest));
+        }
+    }
+}
+
+fn key(request: &Request) -> u64 {
+    let text = [request.organisation.as_bytes(), b"/", request.id.as_bytes()];
+    xxh3_64(&text.concat())
+}
--- /dev/null
+++ b/src/core/outcome/ledger/order.rs
@@ -0,0 +1,350 @@
+//! Non-idempotent requests at their home, and the witness's side of them.
+
+use super::{
+    ADDRESS_KEEP_MS,
+    Context,
+    Ledger,
+    Policy,
+    Waiter,
+    Who,
+    answer_dropped,
+    home,
+    id_reused,
+    run::State,
+    ticket,
+    unknown_subject, //
+};
+use crate::{
+    core::{
+        call::Request,
+        decision::{
+            Kind,
+            value, //
+        },
+        host,
+        outcome::{
+            Ask, Message, Standing, Ticket, Unprepared, Verdict,
+            answers::{
+                Content,
+                Digest, //
+            },
+            plan::Plan,
+        },
+        refusal::{
+            Code,
+            Refusal,
+            Remedy, //
+        },
+        view::View,
+    },
+    time::Instant,
+};
+
+/// Time for which a home asks its witness before it gives up, in milliseconds.
+const PREPARE_MS: u64 = 1_500;
+
+/// Time after which a home asks its witness again, doubled each time, in milliseconds.
+const PREPARE_AGAIN_MS: u64 = 100;
+
+/// How a home asks its witness.
+#[derive(Debug)]
+pub(super) struct Preparing {
+    nonce: u64,
+    again_at: Instant,
+    wait_ms: u64,
+    until: Instant,
+}
+
+impl Ledger {
+    /// Takes a request that must not run more than once.
+    pub(super) fn ask_once(
+        &mut self,
+        cx: &mut Context<'_>,
+        waiter: Waiter,
+        ask: Box<Ask>,
+        digest: Digest,
+        plan: Option<Plan>,
+    ) {
+        let request = ask.request.clone();
+        let Some(ticket) = valid_ticket(&ask) else {
+            let refusal = ticket_required(&ask);
+            return self.refuse(cx, &request, &waiter, "ticket_required", refusal);
+        };
+        if ticket.home != cx.view.own.id {
+            return self.ask_elsewhere(cx, waiter, ask, digest);
+        }
+        if let Some(verdict) = self.ended_here(&request, digest) {
+            cx.decide(Kind::Outcome, &request, "ended", "answered", Vec::new());
+            return cx.deliver(&request, &waiter, 0, &verdict);
+        }
+        if self.home.is_forgotten(&ticket) {
+            let refusal = forgotten();
+            return self.refuse(cx, &request, &waiter, "forgotten", refusal);
+        }
+        let refusal = self.refuses_once(cx, &ticket);
+        let end = refusal.map(|refusal| (cx.now, home::End::Refused(refusal)));
+        let (end, plan) = match (end, plan) {
+            (None, None) => {
+                let end = home::End::Refused(unknown_subject());
+                (Some((cx.now, end)), None)
+            }
+            (end, plan) => (end, plan),
+        };
+        let record = home::Record {
+            ticket,
+            digest,
+            end: end.clone(),
+        };
+        if !self.home.insert(&request, record) {
+            // Without memory there is no promise that a late duplicate won't run.
+            let detail = "the home's memory of requests is full";
+            let refusal = Refusal::may_have_run(Code::Overloaded, Remedy::Wait, detail);
+            return self.refuse(cx, &request, &waiter, "memory", refusal);
+        }
+        match (end, plan) {
+            (Some((_, home::End::Refused(refusal))), _) => {
+                self.refuse(cx, &request, &waiter, "not_serving", refusal);
+            }
+            (_, Some(plan)) => self.start(cx, waiter, ask, digest, plan),
+            (_, None) => unreachable!("a request without a plan is refused"),
+        }
+    }
+
+    /// Returns why no non-idempotent request starts here, where that is so.
+    fn refuses_once(&self, cx: &Context<'_>, ticket: &Ticket) -> Option<Refusal> {
+        if ticket.witness == cx.view.own.id {
+            let detail = "a host can't be its own witness";
+            return Some(Refusal::not_run(
+                Code::TicketRequired,
+                Remedy::NewId,
+                detail,
+            ));
+        }
+        let mut refusal = self.refuses_new(cx)?;
+        // The word is kept: a later try under this id, here or elsewhere, gets the same.
+        refusal.remedy = Remedy::NewId;
+        Some(refusal)
+    }
+
+    /// Returns how a request ended that came here before.
+    fn ended_here(&self, request: &Request, digest: Digest) -> Option<Verdict> {
+        let record = self.home.get(request)?;
+        if record.digest != digest {
+            return Some(Verdict::Refused(id_reused()));
+        }
+        let (_, end) = record.end.as_ref()?;
+        match end {
+            home::End::Refused(refusal) => Some(Verdict::Refused(refusal.clone())),
+            home::End::Ran => match self.answers.get(request).map(|entry| &entry.content) {
+                Some(Content::Whole(answer)) => Some(Verdict::Ran(answer.clone())),
+                _ => Some(Verdict::Refused(answer_dropped())),
+            },
+        }
+    }
+
+    /// Asks the witness before the first call is offered.
+    pub(super) fn start_once(&mut self, cx: &mut Context<'_>, request: &Request) {
+        if self.policy == Policy::HomeAlone {
+            return self.offer(cx, request);
+        }
+        let nonce = self.calls * self.shards + self.shard;
+        self.calls += 1;
+        let Some(running) = self.running.get_mut(request) else {
+            return;
+        };
+        let limit = cx.now.after_ms(PREPARE_MS);
+        running.state = State::Preparing(Preparing {
+            nonce,
+            again_at: cx.now.after_ms(PREPARE_AGAIN_MS),
+            wait_ms: PREPARE_AGAIN_MS,
+            until: limit.min(running.deadline),
+        });
+        self.send_prepare(cx, request);
+    }
+
+    fn send_prepare(&self, cx: &mut Context<'_>, request: &Request) {
+        let Some(running) = self.running.get(request) else {
+            return;
+        };
+        let (State::Preparing(preparing), Some(ticket)) = (&running.state, &running.ask.ticket)
+        else {
+            return;
+        };
+        let message = Message::Prepare {
+            request: request.clone(),
+            ticket: ticket.clone(),
+            nonce: preparing.nonce,
+            digest: running.digest,
+        };
+        cx.send(&ticket.witness, message);
+    }
+
+    pub(super) fn tick_preparing(&mut self, cx: &mut Context<'_>, request: &Request) {
+        let Some(running) = self.running.get_mut(request) else {
+            return;
+        };
+        let State::Preparing(preparing) = &mut running.state else {
+            return;
+        };
+        if cx.now >= preparing.until {
+            let detail = format!("no acknowledgement of the witness within {PREPARE_MS} ms");
+            let refusal = Refusal::not_run(Code::WitnessUnreachable, Remedy::NewId, detail);
+            return self.finish(cx, request, Verdict::Refused(refusal));
+        }
+        if cx.now >= preparing.again_at {
+            preparing.wait_ms *= 2;
+            preparing.again_at = cx.now.after_ms(preparing.wait_ms);
+            self.send_prepare(cx, request);
+        }
+    }
+
+    /// Returns whether this home waits for this word of this witness.
+    fn awaits(&self, from: &host::Id, request: &Request, nonce: u64) -> bool {
+        let Some(running) = self.running.get(request) else {
+            return false;
+        };
+        let witness = running.ask.ticket.as_ref().map(|ticket| &ticket.witness);
+        matches!(&running.state, State::Preparing(preparing) if preparing.nonce == nonce)
+            && witness == Some(from)
+    }
+
+    /// The witness acknowledged: the call may be sent.
+    pub(super) fn prepared(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &host::Id,
+        request: &Request,
+        nonce: u64,
+    ) {
+        if !self.awaits(from, request, nonce) {
+            self.counters.late += 1;
+            return;
+        }
+        let values = vec![value("nonce", nonce)];
+        cx.decide(Kind::Outcome, request, "acknowledged", "run", values);
+        self.offer(cx, request);
+    }
+
+    /// The witness didn't acknowledge: nothing runs.
+    pub(super) fn unprepared(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &host::Id,
+        request: &Request,
+        nonce: u64,
+        why: Unprepared,
+    ) {
+        if !self.awaits(from, request, nonce) {
+            self.counters.late += 1;
+            return;
+        }
+        let (code, detail) = match why {
+            Unprepared::Sealed => (Code::Sealed, "a retry elsewhere sealed the id"),
+            Unprepared::Expired => (Code::TicketRequired, "the ticket is too old to start with"),
+            Unprepared::Forgotten => (Code::TicketRequired, "the ticket's generation is over"),
+            Unprepared::Taken => (Code::IdReused, "the witness knows another use of the id"),
+            Unprepared::Full => (Code::Overloaded, "the witness's memory is full"),
+        };
+        let refusal = match why {
+            // Another attempt of this home was acknowledged, which this home has no memory of.
+            Unprepared::Taken => Refusal::may_have_run(code, Remedy::NewId, detail),
+            // Only this home may run the id, and it hasn't: its own word is enough.
+            _ => Refusal::not_run(code, Remedy::NewId, detail),
+        };
+        self.finish(cx, request, Verdict::Refused(refusal));
+    }
+
+    /// Acknowledges another home's request, as its witness.
+    pub(super) fn prepare(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &host::Id,
+        request: Request,
+        ticket: &Ticket,
+        nonce: u64,
+        digest: Digest,
+    ) {
+        if ticket.home != *from || ticket.witness != cx.view.own.id || !ticket.covers(&request.id) {
+            self.counters.unexpected += 1;
+            return;
+        }
+        let answer = self
+            .witness
+            .prepare(cx.now, &request, ticket, nonce, digest);
+        let message = match answer {
+            Ok(()) => Message::Prepared { request, nonce },
+            Err(why) => {
+                let values = vec![value("nonce", nonce)];
+                cx.decide(Kind::Outcome, &request, "witness", "refused", values);
+                Message::Unprepared {
+                    request,
+                    nonce,
+                    why,
+                }
+            }
+        };
+        cx.send(from, message);
+    }
+
+    /// Seals another home's request, as its witness, and returns what is known then.
+    pub(super) fn seal(
+        &mut self,
+        now: Instant,
+        view: &View,
+        request: &Request,
+        ticket: &Ticket,
+        digest: Digest,
+    ) -> Standing {
+        if ticket.witness != view.own.id || !ticket.covers(&request.id) {
+            self.counters.unexpected += 1;
+            return Standing::Unknown;
+        }
+        match self.witness.seal(now, request, ticket) {
+            // The answer may be kept here.
+            Standing::Ended(_) => self.known(now, view, request, Some(ticket), Some(digest)),
+            standing => standing,
+        }
+    }
+
+    /// A caller asked at another host for what only this one may run.
+    pub(super) fn forwarded(&mut self, cx: &mut Context<'_>, from: host::Id, ask: Box<Ask>) {
+        let home = ask.ticket.as_ref().map(|ticket| &ticket.home);
+        if home != Some(&cx.view.own.id) {
+            self.counters.unexpected += 1;
+            return;
+        }
+        let request = ask.request.clone();
+        let waiter = Waiter {
+            who: Who::Host(from.clone()),
+            next: 0,
+        };
+        self.ask(cx, waiter, ask);
+        if self.running.contains_key(&request) {
+            let standing = Standing::Running;
+            cx.send(&from, Message::Standing { request, standing });
+        }
+    }
+}
+
+/// Returns the ticket of a request whose id belongs to it.
+fn valid_ticket(ask: &Ask) -> Option<Ticket> {
+    let ticket = ask.ticket.as_ref()?;
+    ticket.covers(&ask.request.id).then(|| ticket.clone())
+}
+
+fn ticket_required(ask: &Ask) -> Refusal {
+    let detail = "a non-idempotent request needs a ticket, and an id that starts with its tag";
+    if ticket::is_tagged(&ask.request.id) {
+        // The id may have run under the ticket that it belongs to.
+        return Refusal::may_have_run(Code::TicketRequired, Remedy::ChangeRequest, detail);
+    }
+    Refusal::not_run(Code::TicketRequired, Remedy::ChangeRequest, detail)
+}
+
+pub(super) fn forgotten() -> Refusal {
+    let detail = "what became of requests under this ticket is forgotten";
+    Refusal::may_have_run(Code::AnswerDropped, Remedy::None, detail)
+}
+
+// A ticket must live at least as long as the address that came with it.
+const _: () = assert!(ADDRESS_KEEP_MS < ticket::GENERATION_MS * (ticket::START_GENERATIONS - 1));
--- a/src/core/outcome/mod.rs
+++ b/src/core/outcome/mod.rs
@@ -23,9 +23,22 @@
     names::Name,
 };
 
+use answers::{
+    Answer,
+    Class,
+    Content,
+    Digest, //
+};
+
+pub mod answers;
+pub mod home;
 pub mod ledger;
+pub mod plan;
+pub mod policy;
 pub mod ticket;
+pub mod witness;
 
+pub use policy::Policy;
 pub use ticket::Ticket;
 
 /// Who waits for an answer on this host: the shell's number for the open exchange.
@@ -174,18 +187,184 @@
     Decide(Decision),
 }
 
+/// How a request ended for good.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It ran, and this is its whole answer.
+    Ran(Answer),
+    /// It ran, and its answer has been dropped since.
+    AnswerDropped,
+    /// It was refused, with a true word on whether it ran.
+    Refused(Refusal),
+}
+
+/// What a host knows of a request that another host asks after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// Nothing, and nothing follows from that.
+    Unknown,
+    /// The witness will never acknowledge it: it never runs.
+    Sealed,
+    /// The witness acknowledged it: it may have run.
+    Prepared,
+    /// Its home runs it, or is about to.
+    Running,
+    /// It ended.
+    Ended(Box<Verdict>),
+    /// A stage of it is finished.
+    Stage {
+        /// Index of the stage.
+        index: usize,
+        /// Digest of what was asked.
+        digest: Digest,
+        /// The stage's result.
+        body: Body,
+    },
+    /// What was known of it is forgotten: it may have run.
+    Forgotten,
+}
+
+/// Why a witness doesn't acknowledge a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Unprepared {
+    /// A retry elsewhere sealed it.
+    Sealed,
+    /// Its ticket is too old, and it is sealed now.
+    Expired,
+    /// Its ticket's generation is forgotten.
+    Forgotten,
+    /// Another attempt or another body was acknowledged under this id.
+    Taken,
+    /// The witness has no memory left.
+    Full,
+}
+
 /// What the outcome parts of hosts say to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Placeholder for the first frame test.
-    Hello,
+    /// Home to witness: the request is about to run.
+    Prepare {
+        /// The request.
+        request: Request,
+        /// Its ticket.
+        ticket: Ticket,
+        /// Number of the home's attempt, by which a duplicate is known.
+        nonce: u64,
+        /// Digest of what is asked.
+        digest: Digest,
+    },
+    /// Witness to home: the request may run.
+    Prepared {
+        /// The request.
+        request: Request,
+        /// Number of the home's attempt.
+        nonce: u64,
+    },
+    /// Witness to home: the request may not run.
+    Unprepared {
+        /// The request.
+        request: Request,
+        /// Number of the home's attempt.
+        nonce: u64,
+        /// Why.
+        why: Unprepared,
+    },
+    /// To the witness: never acknowledge the request, where that isn't done yet.
+    Seal {
+        /// The request.
+        request: Request,
+        /// Its ticket.
+        ticket: Ticket,
+        /// Digest of what is asked.
+        digest: Digest,
+    },
+    /// To home, witness or keeper: what became of the request?
+    Look {
+        /// The request.
+        request: Request,
+        /// Its ticket, where it has one.
+        ticket: Option<Ticket>,
+        /// Digest of what is asked, where the body is known.
+        digest: Option<Digest>,
+    },
+    /// To the home: a caller asks this elsewhere.
+    Forward(Box<Ask>),
+    /// What the sender knows of a request.
+    Standing {
+        /// The request.
+        request: Request,
+        /// What is known.
+        standing: Standing,
+    },
+    /// To witness or keeper: keep a copy.
+    Keep {
+        /// The request.
+        request: Request,
+        /// Its ticket, where it has one.
+        ticket: Option<Ticket>,
+        /// What is kept.
+        copy: Copy,
+    },
+    /// A copy arrived.
+    Kept {
+        /// The request.
+        request: Request,
+        /// Which part of it was copied.
+        part: Part,
+    },
+}
+
+/// What is copied to another host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Copy {
+    /// A finished answer or stage result.
+    Content {
+        /// What it is worth.
+        class: Class,
+        /// Digest of what was asked.
+        digest: Digest,
+        /// The answer or result.
+        content: Content,
+    },
+    /// The word with which a non-idempotent request was refused.
+    Refused(Refusal),
+}
+
+impl Copy {
+    /// Returns which part of the request this is.
+    pub fn part(&self) -> Part {
+        match self {
+            Self::Content {
+                content: Content::Stage { index, .. },
+                ..
+            } => Part::Stage(*index),
+            _ => Part::End,
+        }
+    }
+}
+
+/// Part of a request of which a copy is made. A later part replaces an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Part {
+    /// The result of a stage.
+    Stage(usize),
+    /// The end.
+    End,
 }
 
 impl Message {
     /// Returns the request that the message is about, by which its shard is found.
-    pub fn request(&self) -> Option<&Request> {
+    pub fn request(&self) -> &Request {
         match self {
-            Self::Hello => None,
+            Self::Prepare { request, .. }
+            | Self::Prepared { request, .. }
+            | Self::Unprepared { request, .. }
+            | Self::Seal { request, .. }
+            | Self::Look { request, .. }
+            | Self::Standing { request, .. }
+            | Self::Keep { request, .. }
+            | Self::Kept { request, .. } => request,
+            Self::Forward(ask) => &ask.request,
         }
     }
 }
--- /dev/null
+++ b/src/core/outcome/plan.rs
@@ -0,0 +1,95 @@
+//! The stages that a request goes through, fixed when it is admitted.
+//!
+//! A change of configuration doesn't touch requests that run: their stages keep the order, the
+//! deadline and the priority of the moment at which they came.
+
+use super::{
+    Ask,
+    Subject, //
+};
+use crate::{
+    core::document::{
+        Binding,
+        Document, //
+    },
+    names::Name,
+};
+
+/// One stage of a request, or the only step of a service request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stage {
+    /// Pool that runs it.
+    pub pool: Name,
+    /// Model that runs it.
+    pub model: Option<Name>,
+}
+
+/// All that a document says of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// Name of the pipeline or service.
+    pub name: Name,
+    /// Stages in their order, never empty.
+    pub stages: Vec<Stage>,
+    /// Whether the stages may run more than once.
+    pub idempotent: bool,
+    /// Time in which the whole answer is due, in milliseconds.
+    pub deadline_ms: u64,
+    /// Whether an answer is wanted after the deadline.
+    pub late_answer_wanted: bool,
+    /// Priority, 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// Returns the plan of a request, or nothing where its subject isn't known.
+pub fn plan(document: &Document, ask: &Ask) -> Option<Plan> {
+    match &ask.subject {
+        Subject::Pipeline(name) => pipeline(document, ask, name),
+        Subject::Service(name) => service(document, ask, name),
+    }
+}
+
+fn pipeline(document: &Document, ask: &Ask, name: &Name) -> Option<Plan> {
+    let pipeline = document.pipelines.get(name)?;
+    let organisation = document.organisations.get(&ask.request.organisation);
+    let binding = organisation.and_then(|organisation| organisation.pipelines.get(name));
+    let binding = binding.cloned().unwrap_or_else(Binding::default);
+    let priority = binding.priority.unwrap_or(pipeline.priority);
+    let deadline_ms = binding.deadline_ms.unwrap_or(pipeline.deadline_ms);
+    let late = binding.late_answer_wanted;
+    let stages: Vec<Stage> = pipeline
+        .stages
+        .iter()
+        .map(|stage| Stage {
+            pool: stage.pool.clone(),
+            model: stage.model.clone(),
+        })
+        .collect();
+    if stages.is_empty() {
+        return None;
+    }
+    Some(Plan {
+        name: name.clone(),
+        stages,
+        idempotent: true,
+        deadline_ms: ask.deadline_ms.unwrap_or(deadline_ms),
+        late_answer_wanted: late.unwrap_or(pipeline.late_answer_wanted),
+        // A caller may make its request less urgent than its binding, never more.
+        priority: ask.priority.unwrap_or(priority).max(priority),
+    })
+}
+
+fn service(document: &Document, ask: &Ask, name: &Name) -> Option<Plan> {
+    let service = document.services.get(name)?;
+    Some(Plan {
+        name: name.clone(),
+        stages: vec![Stage {
+            pool: service.pool.clone(),
+            model: None,
+        }],
+        idempotent: service.idempotent,
+        deadline_ms: ask.deadline_ms.unwrap_or(service.deadline_ms),
+        late_answer_wanted: false,
+        priority: ask.priority.unwrap_or(0),
+    })
+}
--- /dev/null
+++ b/src/core/outcome/witness.rs
@@ -0,0 +1,201 @@
+//! The witness's memory: which requests of other homes may have run, and which never will.
+//!
+//! First writer wins for each request. Whole generations are forgotten, never a single request,
+//! and tickets of a forgotten generation are refused for ever: see `docs/outcome-design.md`.
+
+use std::collections::BTreeMap;
+
+use super::{
+    Standing, Ticket, Unprepared, Verdict,
+    answers::Digest,
+    ticket::{
+        self,
+        KEEP_GENERATIONS,
+        START_GENERATIONS, //
+    },
+};
+use crate::{
+    core::{
+        call::Request,
+        refusal::Refusal, //
+    },
+    time::Instant,
+};
+
+/// Requests that one shard of a witness remembers.
+pub const LIMIT: usize = 4_096;
+
+/// What a witness knows of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Record {
+    /// Never acknowledged, and never will be.
+    Sealed,
+    /// Acknowledged to its home.
+    Prepared { nonce: u64, digest: Digest },
+    /// Ended with an answer, which the store of answers may still have.
+    Ran,
+    /// Ended with a refusal.
+    Refused(Refusal),
+}
+
+/// The witness's memory of one shard.
+pub struct Witness {
+    limit: usize,
+    floor: u64,
+    count: usize,
+    generations: BTreeMap<u64, BTreeMap<Request, Record>>,
+}
+
+impl Witness {
+    /// Makes a memory without records, which holds no more than `limit` of them.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            floor: 0,
+            count: 0,
+            generations: BTreeMap::new(),
+        }
+    }
+
+    /// Acknowledges a request to its home, or says why not.
+    ///
+    /// # Errors
+    ///
+    /// Says why the request must not run, or not now.
+    pub fn prepare(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        ticket: &Ticket,
+        nonce: u64,
+        digest: Digest,
+    ) -> Result<(), Unprepared> {
+        self.forget(now);
+        if ticket.generation < self.floor {
+            return Err(Unprepared::Forgotten);
+        }
+        match self.record(request, ticket) {
+            Some(Record::Prepared {
+                nonce: first,
+                digest: known,
+            }) => {
+                let same = *first == nonce && *known == digest;
+                return same.then_some(()).ok_or(Unprepared::Taken);
+            }
+            Some(Record::Sealed) => return Err(Unprepared::Sealed),
+            Some(Record::Ran | Record::Refused(_)) => return Err(Unprepared::Taken),
+            None => {}
+        }
+        if !self.make_room(ticket) {
+            return Err(Unprepared::Full);
+        }
+        let oldest_start = ticket::generation(now).saturating_sub(START_GENERATIONS);
+        if ticket.generation < oldest_start {
+            self.insert(request, ticket, Record::Sealed);
+            return Err(Unprepared::Expired);
+        }
+        self.insert(request, ticket, Record::Prepared { nonce, digest });
+        Ok(())
+    }
+
+    /// Seals a request that was not acknowledged, and returns what is known of it then.
+    pub fn seal(&mut self, now: Instant, request: &Request, ticket: &Ticket) -> Standing {
+        let standing = self.look(now, request, ticket);
+        if standing != Standing::Unknown {
+            return standing;
+        }
+        if !self.make_room(ticket) {
+            return Standing::Unknown;
+        }
+        self.insert(request, ticket, Record::Sealed);
+        Standing::Sealed
+    }
+
+    /// Returns what is known of a request. For one that ran the answer is found elsewhere.
+    pub fn look(&mut self, now: Instant, request: &Request, ticket: &Ticket) -> Standing {
+        self.forget(now);
+        if ticket.generation < self.floor {
+            return Standing::Forgotten;
+        }
+        match self.record(request, ticket) {
+            None => Standing::Unknown,
+            Some(Record::Sealed) => Standing::Sealed,
+            Some(Record::Prepared { .. }) => Standing::Prepared,
+            Some(Record::Ran) => Standing::Ended(Box::new(Verdict::AnswerDropped)),
+            Some(Record::Refused(refusal)) => {
+                Standing::Ended(Box::new(Verdict::Refused(refusal.clone())))
+            }
+        }
+    }
+
+    /// Records the home's word that a request ran, or why it was refused.
+    pub fn end(&mut self, request: &Request, ticket: &Ticket, refusal: Option<Refusal>) {
+        let Some(records) = self.generations.get_mut(&ticket.generation) else {
+            return;
+        };
+        let Some(record) = records.get_mut(request) else {
+            return;
+        };
+        match (&*record, refusal) {
+            (Record::Prepared { .. }, None) => *record = Record::Ran,
+            (Record::Prepared { .. }, Some(refusal)) => *record = Record::Refused(refusal),
+            // The first word stands: a seal stays a seal, and an end stays an end.
+            _ => {}
+        }
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    fn record(&self, request: &Request, ticket: &Ticket) -> Option<&Record> {
+        self.generations.get(&ticket.generation)?.get(request)
+    }
+
+    fn insert(&mut self, request: &Request, ticket: &Ticket, record: Record) {
+        let records = self.generations.entry(ticket.generation).or_default();
+        let before = records.insert(request.clone(), record);
+        assert!(
+            before.is_none(),
+            "the witness's first word on a request stands"
+        );
+        self.count += 1;
+        assert!(
+            self.count <= self.limit,
+            "the witness's memory stays within its limit"
+        );
+    }
+
+    /// Forgets generations that are too old.
+    fn forget(&mut self, now: Instant) {
+        let floor = ticket::generation(now).saturating_sub(KEEP_GENERATIONS);
+        self.raise(floor);
+    }
+
+    /// Forgets the oldest generations until a record fits, and returns whether one fits.
+    fn make_room(&mut self, ticket: &Ticket) -> bool {
+        while self.count >= self.limit {
+            match self.generations.keys().next() {
+                Some(oldest) if *oldest < ticket.generation => self.raise(*oldest + 1),
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    fn raise(&mut self, floor: u64) {
+        if floor <= self.floor {
+            return;
+        }
+        self.floor = floor;
+        let kept = self.generations.split_off(&floor);
+        let forgotten = std::mem::replace(&mut self.generations, kept);
+        self.count -= forgotten.values().map(BTreeMap::len).sum::<usize>();
+    }
+}
