Let hosts without a cold slot ask what a server carries

Cause: raising only by own replies leaves every host without a cold slot blind for ever: with 9 hosts and a cold limit of 2 seven of them would never use a server again.

Ruled out: broadcasts of limits, since a late one of an earlier life would raise a limit after evidence. Now such a host asks, and only a word that rests on a call sent after the question counts; newer evidence closes the question.

Also a call that nobody ends frees its slot after the call timeout.

--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -323,6 +323,10 @@
                 let from = frame.from.id;
                 self.ledger(now, shard, outcome::Event::Message { from, message }, out);
             }
+            Message::Routing(pool, message) => {
+                let from = frame.from.id;
+                self.pool(now, &pool, routing::Event::Message { from, message }, out);
+            }
             Message::Cold(pool, server, start) => {
                 self.pool(
                     now,
@@ -386,6 +390,14 @@
                 routing::Action::TellCold { server, start } => {
                     tell_cold(&view, name, &server, start, out);
                 }
+                routing::Action::Tell { to, message } => {
+                    if let Some(member) = view.member(&to) {
+                        out.push(Action::Frame {
+                            to: Box::new(member.host.clone()),
+                            message: Box::new(Message::Routing(name.clone(), message)),
+                        });
+                    }
+                }
                 routing::Action::Decide(decision) => out.push(Action::Decide(decision)),
             }
         }
--- a/src/core/routing/limit.rs
+++ b/src/core/routing/limit.rs
@@ -137,6 +137,14 @@
         true
     }
 
+    /// Takes another host's word, which it gave after this host's last evidence.
+    pub fn vouch(&mut self, start: Start, slots: u32) {
+        if self.start == Some(start) {
+            self.suspect = false;
+            self.slots = self.slots.max(slots);
+        }
+    }
+
     /// Takes the loss of a connection: the server may have restarted.
     pub fn lose(&mut self) {
         match self.start {
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -12,6 +12,7 @@
             Start, //
         },
         decision::Decision,
+        host,
         refusal::Refusal, //
     },
     names::Name,
@@ -31,10 +32,12 @@
 pub mod roster;
 pub mod server;
 pub mod share;
+pub mod vouch;
 pub mod words;
 
 pub use board::Board;
 pub use pool::Pool;
+pub use vouch::Message;
 
 /// What a pool is told.
 #[derive(Clone, Debug)]
@@ -84,6 +87,13 @@
         /// The server's new life, where known.
         start: Start,
     },
+    /// A message of another host's pool of the same name.
+    Message {
+        /// Who sent it.
+        from: host::Id,
+        /// What it says.
+        message: Message,
+    },
     /// Models that a server has loaded and can serve.
     Models {
         /// The server.
@@ -126,6 +136,13 @@
         /// The server's new life.
         start: Start,
     },
+    /// Send a message to another host's pool of the same name.
+    Tell {
+        /// To whom.
+        to: host::Id,
+        /// What.
+        message: Message,
+    },
     /// Log a decision.
     Decide(Decision),
 }
--- a/src/core/routing/pool.rs
+++ b/src/core/routing/pool.rs
@@ -31,7 +31,14 @@
         Distance,
         Server, //
     },
-    share::Place,
+    share::{
+        self,
+        Place, //
+    },
+    vouch::{
+        self,
+        Message, //
+    },
     words::{
         Words,
         value, //
@@ -52,6 +59,7 @@
             Kind, //
         },
         document,
+        host,
         view::View, //
     },
     names::Name,
@@ -107,6 +115,8 @@
     book: cost::Book,
     slots: u64,
     turn: usize,
+    ask_next: usize,
+    asked: u64,
 }
 
 impl Pool {
@@ -138,6 +148,8 @@
             book: cost::Book::default(),
             slots: 0,
             turn: 0,
+            ask_next: 0,
+            asked: 0,
         }
     }
 
@@ -167,6 +179,7 @@
                 }
             }
             Event::ColdNotice { server, start } => self.notice(now, &server, start, &mut out),
+            Event::Message { from, message } => self.message(now, view, from, message, &mut out),
             Event::Models { server, models } => self.note_models(&server, models),
             Event::Tick => self.tick(now, view, &mut out),
         }
@@ -299,6 +312,8 @@
             }
         }
         self.slots = slots;
+        self.free_silent(now, view, out);
+        self.ask(now, view, out);
         while let Some(waiting) = self.queue.expire(now) {
             let refusal = refuse::late(now, &waiting, self.queue.len(), slots);
             out.push(Action::Refuse {
@@ -308,6 +323,33 @@
         }
     }
 
+    /// Frees the slots of calls that can't run any more, though nobody told of their end.
+    fn free_silent(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
+        let timeout_ms = self
+            .document
+            .as_ref()
+            .map_or(0, |pool| pool.call_timeout_ms);
+        let silent: Vec<call::Id> = self
+            .sent
+            .iter()
+            .filter(|(_, sent)| timeout_ms > 0 && now.since_ms(sent.at) > timeout_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in silent {
+            let Some(sent) = self.sent.remove(&id) else {
+                continue;
+            };
+            let index = sent.server;
+            self.servers[index].in_flight -= 1;
+            self.lost(now, index);
+            self.refresh(now, view, index);
+            out.push(Action::Abort {
+                call: id,
+                server: self.servers[index].name.clone(),
+            });
+        }
+    }
+
     fn offer(&mut self, now: Instant, view: &View, call: Call, out: &mut Vec<Action>) {
         let known = self.queue.remove(call.id).is_some() || self.sent.contains_key(&call.id);
         assert!(!known, "a call is offered once");
@@ -673,7 +715,10 @@
             self.hear(now, index, start, out);
         }
         match end {
-            End::Answered(_) => self.answered(now, index, &sent, start),
+            End::Answered(_) => {
+                self.answered(now, index, &sent, start);
+                self.vouch(now, index, sent.at, out);
+            }
             End::Failed => self.failed(now, index, &sent, start),
             End::Refused => {
                 // A server that refuses carries less than was believed.
@@ -733,10 +778,103 @@
         let jitter = self.rng.random_range(0..1 << 16);
         let server = &mut self.servers[index];
         server.limit.lose();
+        server.question.close();
         server.note_failure(true);
         server.back_off(now, jitter);
     }
 
+    /// Answers the hosts that asked before the call was sent which this server has now answered.
+    fn vouch(&mut self, now: Instant, index: usize, sent_at: Instant, out: &mut Vec<Action>) {
+        let server = &mut self.servers[index];
+        let Some(start) = server.limit.start() else {
+            return;
+        };
+        let limit = server.limit.slots(&self.bounds);
+        for asker in server.inbox.take(now, sent_at) {
+            out.push(Action::Tell {
+                to: asker.from,
+                message: Message::Vouch {
+                    server: server.name.clone(),
+                    start,
+                    limit,
+                    number: asker.number,
+                },
+            });
+        }
+    }
+
+    /// Asks other hosts about servers on which this host has no slot to find out itself.
+    fn ask(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
+        if self.policy != Policy::Teaselchute {
+            return;
+        }
+        let mut asked = 0;
+        for _ in 0..self.servers.len() {
+            self.ask_next = (self.ask_next + 1) % self.servers.len();
+            let server = &mut self.servers[self.ask_next];
+            let blind = server.listed
+                && server.allowed(&self.bounds) == 0
+                && server.share(self.bounds.full) > 0;
+            if !blind || !server.question.is_due(now) {
+                continue;
+            }
+            let draw = self.rng.random_range(0..1 << 16);
+            let members = &view.roster.members;
+            let holders = share::holders(&self.name, &server.name, members, self.bounds.cold);
+            let Some(to) = vouch::whom(&view.own.id, members, &holders, draw) else {
+                continue;
+            };
+            self.asked += 1;
+            server.question.ask(now, self.asked);
+            out.push(Action::Tell {
+                to,
+                message: Message::Ask {
+                    server: server.name.clone(),
+                    number: self.asked,
+                },
+            });
+            asked += 1;
+            if asked == vouch::ASKS_PER_TICK {
+                return;
+            }
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Instant,
+        view: &View,
+        from: host::Id,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Ask { server, number } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.servers[index].inbox.put(now, from, number);
+                }
+            }
+            Message::Vouch {
+                server,
+                start,
+                limit,
+                number,
+            } => {
+                let Some(&index) = self.names.get(&server) else {
+                    return;
+                };
+                if !self.servers[index].question.is_open(number) {
+                    return;
+                }
+                self.hear(now, index, start, out);
+                let server = &mut self.servers[index];
+                server.limit.vouch(start, limit);
+                server.question.close();
+                self.refresh(now, view, index);
+            }
+        }
+    }
+
     fn charge(&mut self, sent: &Sent, run_ms: u64, answered: bool) {
         let price_milli = self.document.as_ref().map_or(0, |pool| pool.price_milli);
         let account = self.book.account(cost::Key {
@@ -771,6 +909,7 @@
         let server = &mut self.servers[index];
         server.answers();
         server.limit.reply(now, start, at, true, &self.bounds);
+        self.vouch(now, index, at, out);
     }
 
     fn load(&mut self, now: Instant, view: &View, name: &Name, load: Load, out: &mut Vec<Action>) {
@@ -800,6 +939,7 @@
             return;
         };
         server.turn_cold();
+        server.question.close();
         self.affinity.forget(index);
         out.push(Action::TellCold {
             server: self.servers[index].name.clone(),
--- a/src/core/routing/server.rs
+++ b/src/core/routing/server.rs
@@ -8,7 +8,8 @@
         Limit, //
     },
     roster::History,
-    share::Place, //
+    share::Place,
+    vouch, //
 };
 use crate::{
     core::{
@@ -82,6 +83,10 @@
     pub open_at: Option<usize>,
     /// Typical time of a call, in milliseconds, 0 where unknown.
     pub typical_ms: u64,
+    /// This host's question to others.
+    pub question: vouch::Question,
+    /// Questions of other hosts.
+    pub inbox: vouch::Inbox,
     failures_in_row: u32,
     lingering: Vec<Lingering>,
     load: Option<(Load, Instant)>,
@@ -109,6 +114,8 @@
             backoff_until: Instant::ZERO,
             open_at: None,
             typical_ms: 0,
+            question: vouch::Question::default(),
+            inbox: vouch::Inbox::default(),
             failures_in_row: 0,
             lingering: Vec::new(),
             load: None,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -13,7 +13,8 @@
         host,
         membership,
         outcome,
-        replica, //
+        replica,
+        routing, //
     },
     names::Name,
 };
@@ -38,6 +39,8 @@
     Outcome(outcome::Message),
     /// A backend server turned cold: pool, server, its new life.
     Cold(Name, Name, Start),
+    /// From the routing of a pool.
+    Routing(Name, routing::Message),
 }
 
 /// A message with its sender and receiver.
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -124,7 +124,8 @@
 fn offer_after_member_gone_waits_call_timeout() {
     let mut pool = pool();
     let mut view = view(0, 2, document(1, 10, 10));
-    assert_eq!(offer(&mut pool, &view, at(0), 0..20).len(), 5);
+    let calls = offer(&mut pool, &view, at(0), 0..5);
+    assert_eq!(calls.len(), 5);
     view.previous_roster = view.roster.clone();
     view.roster.epoch = 2;
     view.roster.members = vec![id(0)];
@@ -133,13 +134,12 @@
     assert!(sent(pool.step(at(20), &view, Event::Tick)).is_empty());
     // The calls of the one who is gone run 5 s at most.
     pool.step(at(1_000), &view, Event::Tick);
-    for number in 100..120 {
-        let mut call = some_call(number);
-        call.deadline = at(60_000);
-        assert!(sent(pool.step(at(1_000), &view, Event::Offer(call))).is_empty());
+    assert!(offer(&mut pool, &view, at(2_000), 100..120).is_empty());
+    for call in &calls {
+        end(&mut pool, &view, at(2_000), call, 1, answered());
     }
     assert!(sent(pool.step(at(5_019), &view, Event::Tick)).is_empty());
-    assert!(!sent(pool.step(at(5_020), &view, Event::Tick)).is_empty());
+    assert_eq!(sent(pool.step(at(5_020), &view, Event::Tick)).len(), 5);
 }
 
 #[test]
@@ -274,6 +274,76 @@
     assert_eq!(sent(pool.step(at(5_050), &view, Event::Tick)).len(), 4);
 }
 
+#[test]
+fn tick_silent_call_frees_slot() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 1, 1));
+    offer(&mut pool, &view, at(0), 0..1);
+    assert!(offer(&mut pool, &view, at(2_000), 1..2).is_empty());
+    let actions = pool.step(at(5_050), &view, Event::Tick);
+    assert!(matches!(actions[0], Action::Abort { .. }));
+}
+
+#[test]
+fn message_vouch_after_question() {
+    let document = document(1, 1, 32);
+    let views: Vec<View> = (0..2).map(|own| view(own, 2, document.clone())).collect();
+    let mut pools = [pool(), pool()];
+    let blind = |own: &usize| offer(&mut pool(), &views[*own], at(0), 0..1).is_empty();
+    let blind = (0..2).find(blind).unwrap();
+    let seeing = 1 - blind;
+    let now = warm(&mut pools[seeing], &views[seeing]);
+    // The question may go to the host itself, which asks again.
+    let mut questions = (0..8).flat_map(|turn| {
+        let actions = pools[blind].step(now.after_ms(turn * 500), &views[blind], Event::Tick);
+        actions.into_iter().filter_map(|action| match action {
+            Action::Tell { message, .. } => Some(message),
+            _ => None,
+        })
+    });
+    let question = questions.next().unwrap();
+    drop(questions);
+    let from = id(blind);
+    let asked = Event::Message {
+        from,
+        message: question,
+    };
+    pools[seeing].step(now, &views[seeing], asked);
+    let later = now.after_ms(10);
+    let calls = offer(&mut pools[seeing], &views[seeing], later, 0..1);
+    let ended = Event::Ended {
+        call: call::Id(calls[0].0),
+        server: calls[0].1.clone(),
+        start: Some(1),
+        end: answered(),
+    };
+    let actions = pools[seeing].step(later.after_ms(50), &views[seeing], ended);
+    let vouch = actions.into_iter().find_map(|action| match action {
+        Action::Tell { message, .. } => Some(message),
+        _ => None,
+    });
+    let vouched = Event::Message {
+        from: id(seeing),
+        message: vouch.unwrap(),
+    };
+    let mut deaf = pools[blind].step(later, &views[blind], Event::Tick);
+    deaf.clear();
+    pools[blind].step(later.after_ms(60), &views[blind], vouched.clone());
+    assert_eq!(
+        offer(&mut pools[blind], &views[blind], later, 0..60).len(),
+        16
+    );
+    // The same word after newer evidence is worth nothing.
+    let notice = Event::ColdNotice {
+        server: Name::from("s0"),
+        start: 2,
+    };
+    let mut fresh = pool();
+    fresh.step(later, &views[blind], notice);
+    fresh.step(later, &views[blind], vouched);
+    assert!(offer(&mut fresh, &views[blind], later, 0..60).is_empty());
+}
+
 #[test]
 fn has_shrunk_calls_above_new_share() {
     let mut pool = pool();
