--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod options;
 pub mod shell;
 pub mod time;
+pub mod utils;
 pub mod wire;
--- /dev/null
+++ b/src/utils/mod.rs
@@ -0,0 +1,3 @@
+//! Small helpers that no library of this project brings.
+
+pub mod hex;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -19,6 +19,9 @@
     names::Name,
 };
 
+pub mod codec;
+pub mod ticket;
+
 /// Version of the frames. A host drops frames of another version and counts them.
 pub const VERSION: u8 = 1;
 
