--- a/src/core/call/mod.rs
+++ b/src/core/call/mod.rs
@@ -1,6 +1,9 @@
 //! Calls: one attempt of one stage or service request on one backend server.
 
-use std::sync::Arc;
+use std::{
+    fmt,
+    sync::Arc, //
+};
 
 use serde::{
     Deserialize,
@@ -21,6 +24,12 @@
     pub id: Name,
 }
 
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.organisation, self.id)
+    }
+}
+
 /// Number of a call, unique within one life of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id(pub u64);
@@ -70,6 +79,19 @@
 /// A new start means that the server is cold.
 pub type Start = u64;
 
+impl Call {
+    /// Returns the name by which a backend server knows this call alone, so that its answer can be
+    /// told from those to other calls.
+    pub fn name(&self) -> Name {
+        let request = &self.request;
+        let name = format!(
+            "{}/{}/{}/{}/{}",
+            request.organisation, request.id, self.stage, self.attempt, self.id.0
+        );
+        name.into()
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -229,6 +229,22 @@
         self.ledgers.iter().all(|ledger| ledger.lock().is_idle())
     }
 
+    /// Returns the shard of requests that an event goes to, where it goes to one alone.
+    ///
+    /// Whoever steps from several threads uses it to hand on what a caller gets in its order.
+    pub fn shard(event: &Event) -> Option<usize> {
+        match event {
+            Event::Piece { call, .. } | Event::Ended { call, .. } => Some(shard_of_call(*call)),
+            Event::Caller(outcome::Event::Ask { ask, .. }) => Some(shard_of_request(&ask.request)),
+            Event::Caller(outcome::Event::Fetch { request, .. }) => Some(shard_of_request(request)),
+            Event::Frame(frame) => match &frame.message {
+                Message::Outcome(message) => Some(shard_of_request(message.request())),
+                _ => None,
+            },
+            _ => None,
+        }
+    }
+
     /// Takes one event and returns what follows from it in the world.
     pub fn step(&self, now: Instant, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
--- a/src/core/state/mod.rs
+++ b/src/core/state/mod.rs
@@ -27,7 +27,6 @@
 };
 
 mod apply;
-pub mod publish;
 mod verdicts;
 
 pub use verdicts::Verdicts;
