Keep events past the end of a run, and the order on a connection over a pause

Cause: Driver::next dropped the event that it found past the end, so that a host lost its tick, or a caller a piece, where a run went on after a first end. A pause gave its events new numbers, so that one that was due at its very end overtook earlier ones of the same connection.

--- a/examples/driver/mod.rs
+++ b/examples/driver/mod.rs
@@ -282,18 +282,20 @@
     /// Returns the next event and its process, or nothing at the end of the run.
     pub fn next(&mut self, end: Instant) -> Option<(Process, E)> {
         loop {
-            let Reverse(entry) = self.queue.pop()?;
-            if entry.at > end {
+            // An event after the end stays for a run that goes on.
+            if self.queue.peek()?.0.at > end {
                 return None;
             }
+            let Reverse(entry) = self.queue.pop()?;
             self.now = self.now.max(entry.at);
             let slot = &self.slots[entry.process];
             if entry.life != slot.life {
                 continue;
             }
             if slot.paused_until > self.now {
-                let (at, process, life) = (slot.paused_until, entry.process, entry.life);
-                self.put_at(at, process, life, entry.event);
+                // The number stays, so that a pause doesn't change the order on a connection.
+                let at = slot.paused_until;
+                self.queue.push(Reverse(Entry { at, ..entry }));
                 continue;
             }
             self.events += 1;
