--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -3,7 +3,9 @@
 #[path = "../driver/mod.rs"]
 mod driver;
 
+mod ledgers;
 mod options;
+mod outcome;
 
 use std::process::ExitCode;
 
@@ -11,7 +13,7 @@
 type Case = fn(&options::Options) -> bool;
 
 /// All cases by name. Each stands in a module of its own.
-const CASES: &[(&str, Case)] = &[];
+const CASES: &[(&str, Case)] = &[("outcome", outcome::measure)];
 
 fn main() -> ExitCode {
     let options = match options::parse(std::env::args().skip(1)) {
