--- a/examples/driver/world/mod.rs
+++ b/examples/driver/world/mod.rs
@@ -70,6 +70,8 @@
     pub faults: Faults,
     /// Shapes of the servers, in the document too.
     pub document: document::Shape,
+    /// Whether frames are encoded and decoded on their way.
+    pub encode_frames: bool,
     /// Whether a trace of what happens is kept.
     pub trace: bool,
 }
@@ -105,6 +107,17 @@
     Fault(faults::Event),
 }
 
+/// What frames and steps cost on this machine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Bytes of frames with all headers.
+    pub bytes: u64,
+    /// Count of frames.
+    pub messages: u64,
+    /// Processor time of the nodes' steps.
+    pub cpu: std::time::Duration,
+}
+
 /// Whole nodes with their surroundings.
 pub struct World {
     /// The plan.
@@ -127,6 +140,8 @@
     pub decisions: BTreeMap<&'static str, u64>,
     /// The trace, where wanted.
     pub trace: Vec<String>,
+    /// What frames and steps cost, counted from the moment at which it is set.
+    pub cost: Option<Cost>,
     /// Hosts that were told to leave and are not yet stopped.
     pub leaving: BTreeSet<Process>,
     /// Kinds of faults that strike before any strikes again.
@@ -142,6 +157,9 @@
     incarnations: u64,
 }
 
+/// Bytes of a frame's version and tag, and of the IP and UDP headers around it.
+const FRAME_OVERHEAD_BYTES: u64 = 1 + 32 + 28;
+
 /// The environment in which all runs take place.
 pub const ENVIRONMENT: &str = "production";
 
@@ -174,6 +192,7 @@
             checks: Checks::default(),
             decisions: BTreeMap::new(),
             trace: Vec::new(),
+            cost: None,
             leaving: BTreeSet::new(),
             deck: Vec::new(),
             fingerprint: plan.seed,
@@ -246,7 +265,11 @@
         let Some(node) = &self.nodes[process] else {
             return;
         };
+        let began = self.cost.map(|_| std::time::Instant::now());
         let actions = node.step(now, event);
+        if let (Some(cost), Some(began)) = (&mut self.cost, began) {
+            cost.cpu += began.elapsed();
+        }
         self.check_node(process);
         for action in actions {
             self.act(process, action);
@@ -310,10 +333,28 @@
             to: to.id.clone(),
             message,
         };
+        let frame = if self.plan.encode_frames {
+            self.recode(&frame)
+        } else {
+            frame
+        };
         let event = Event::Node(Box::new(node::Event::Frame(Box::new(frame))));
         self.driver.send(from, target, event);
     }
 
+    /// Encodes and decodes a frame, as sockets need it, so that hosts share no memory.
+    fn recode(&mut self, frame: &wire::Frame) -> wire::Frame {
+        let began = std::time::Instant::now();
+        let bytes = postcard::to_stdvec(frame).expect("A frame can be encoded.");
+        let frame = postcard::from_bytes(&bytes).expect("A frame can be decoded.");
+        if let Some(cost) = &mut self.cost {
+            cost.bytes += bytes.len() as u64 + FRAME_OVERHEAD_BYTES;
+            cost.messages += 1;
+            cost.cpu += began.elapsed();
+        }
+        frame
+    }
+
     /// Starts a host in a new life, which knows nothing of the one before.
     pub fn start_host(&mut self, process: Process) {
         self.driver.start(process);
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -6,6 +6,7 @@
 mod ledgers;
 mod options;
 mod outcome;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -13,7 +14,10 @@
 type Case = fn(&options::Options) -> bool;
 
 /// All cases by name. Each stands in a module of its own.
-const CASES: &[(&str, Case)] = &[("outcome", outcome::measure)];
+const CASES: &[(&str, Case)] = &[
+    ("outcome", outcome::measure),
+    ("slopes", slopes::run),
+];
 
 fn main() -> ExitCode {
     let options = match options::parse(std::env::args().skip(1)) {
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -109,6 +109,7 @@
             change_every_ms: 5_000,
         },
         document: Shape::co_operative(),
+        encode_frames: false,
         trace: options.trace,
     }
 }
