--- a/examples/measure/slopes/mod.rs
+++ b/examples/measure/slopes/mod.rs
@@ -47,8 +47,12 @@
         .iter()
         .map(|hosts| (*hosts as f64, control::measure(options.seed, *hosts, 0)))
         .collect();
-    let bytes = report(&host_points, "host", "bytes_per_second", "B/s", |it| it.bytes);
-    report(&host_points, "host", "messages_per_second", "1/s", |it| it.messages);
+    let bytes = report(&host_points, "host", "bytes_per_second", "B/s", |it| {
+        it.bytes
+    });
+    report(&host_points, "host", "messages_per_second", "1/s", |it| {
+        it.messages
+    });
     let cpu = report(&host_points, "host", "cpu", "us/s", |it| it.cpu_us);
     let memory = report(&host_points, "host", "memory", "B", |it| it.memory);
     let change_points: Vec<(f64, control::Point)> = CHANGE_EVERY_MS
@@ -58,7 +62,9 @@
             (per_second, control::measure(options.seed, 30, *every_ms))
         })
         .collect();
-    let change_bytes = report(&change_points, "change", "bytes_per_second", "B/s", |it| it.bytes);
+    let change_bytes = report(&change_points, "change", "bytes_per_second", "B/s", |it| {
+        it.bytes
+    });
     let change_cpu = report(&change_points, "change", "cpu", "us/s", |it| it.cpu_us);
     let cpu_us = cpu.at(TARGET_HOSTS) + change_cpu.slope.max(0.0) * TARGET_CHANGES_PER_SECOND;
     let bytes_per_second =
@@ -147,7 +153,12 @@
 }
 
 fn count(size: Size) -> f64 {
-    let all = [size.organisations, size.servers, size.models, size.pipelines];
+    let all = [
+        size.organisations,
+        size.servers,
+        size.models,
+        size.pipelines,
+    ];
     all.into_iter().max().unwrap_or(0) as f64
 }
 
--- a/examples/measure/slopes/state.rs
+++ b/examples/measure/slopes/state.rs
@@ -121,7 +121,9 @@
         revision: 1,
         document: document(size).into(),
     };
-    state.environments.insert(Name::from(ENVIRONMENT), environment);
+    state
+        .environments
+        .insert(Name::from(ENVIRONMENT), environment);
     state
 }
 
@@ -173,7 +175,7 @@
     let server = BackendServer {
         address: SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8], 9_000)),
         data_centre: Name::from(format!("dc-{}", index % 6)),
-        checks_fencing: index % 2 == 0,
+        checks_fencing: index.is_multiple_of(2),
         memory_mb: 320_000,
     };
     (Name::from(format!("server-{index}")), Arc::new(server))
@@ -195,7 +197,9 @@
     Model {
         pool: Name::from("pool-0"),
         version: Name::from("2026-12-01"),
-        adapters: (0..8).map(|it| Name::from(format!("adapter-{it}"))).collect(),
+        adapters: (0..8)
+            .map(|it| Name::from(format!("adapter-{it}")))
+            .collect(),
         memory_mb: 80_000,
         weights_mb: 70_000,
         least_replicas: 2,
