--- a/examples/driver/world/callers.rs
+++ b/examples/driver/world/callers.rs
@@ -32,9 +32,12 @@
 };
 use crate::driver::Process;
 
-/// Times that a caller asks under one id at the most.
+/// Times that a caller asks again after a refusal at the most. After silence it always does.
 const ATTEMPTS: u32 = 4;
 
+/// Time between two tries to find any host that is up, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 500;
+
 /// Time beyond the deadline after which a caller asks elsewhere, in milliseconds.
 const PATIENCE_MS: u64 = 1_500;
 
@@ -45,6 +48,8 @@
     Arrive,
     /// An exchange took too long.
     TimedOut(u64),
+    /// No host was up, and it is time to look again.
+    AskLater(usize),
     /// The connection of an exchange was reset.
     Reset(u64),
     /// A host gave a piece, an answer or a refusal.
@@ -60,8 +65,6 @@
     NotRun(Refusal),
     /// It may have run.
     MayHaveRun(Refusal),
-    /// No host gave a word in all attempts.
-    Silence,
 }
 
 /// A request of a caller.
@@ -115,6 +118,7 @@
                     self.ask_again(exchange);
                 }
             }
+            Event::AskLater(number) => self.ask(number, None),
             Event::Reset(exchange) => self.ask_again(exchange),
             Event::Given(action) => self.caller_given(*action),
         }
@@ -157,8 +161,10 @@
 
     /// Asks a host, another than the one to be avoided where there is one.
     fn ask(&mut self, number: usize, avoid: Option<Process>) {
-        let Some(host) = self.choose_host(self.callers.asked[number].process, avoid) else {
-            return self.finish(number, Word::Silence);
+        let process = self.callers.asked[number].process;
+        let Some(host) = self.choose_host(process, avoid) else {
+            let event = Event::AskLater(number).into();
+            return self.driver.put(LOOK_AGAIN_MS, process, event);
         };
         if self.callers.asked[number].order && self.callers.asked[number].ticket.is_none() {
             let ticket = self.ticket(host);
@@ -169,6 +175,10 @@
             asked.ticket = ticket;
         }
         self.callers.asked[number].attempts += 1;
+        self.note(&format!(
+            "caller asks host {host} for {}",
+            self.callers.asked[number].request.id
+        ));
         let exchange = self.callers.next_exchange;
         self.callers.next_exchange += 1;
         let silent = self.driver.chance(self.callers.silent_permille);
@@ -242,9 +252,6 @@
         if asked.word.is_some() {
             return;
         }
-        if asked.attempts >= ATTEMPTS {
-            return self.finish(open.asked, Word::Silence);
-        }
         self.ask(open.asked, Some(open.host));
     }
 
--- a/examples/driver/world/checks.rs
+++ b/examples/driver/world/checks.rs
@@ -224,9 +224,6 @@
             let id = &asked.request.id;
             match &asked.word {
                 None => self.checks.broken("lost", &format!("{id} has no word")),
-                Some(Word::Silence) => {
-                    self.checks.broken("lost", &format!("{id} met silence"));
-                }
                 Some(Word::NotRun(refusal)) if asked.order && self.checks.ran(&asked.request) => {
                     let text = format!("{id} ran, but its caller was told {refusal:?}");
                     self.checks.broken("false_not_run", &text);
--- a/examples/driver/world/document.rs
+++ b/examples/driver/world/document.rs
@@ -13,13 +13,13 @@
             Binding,
             DataCentre,
             Document,
-            Edit,
             Kind,
             Organisation,
             Pipeline,
             Pool,
             Service,
-            Stage, //
+            Stage,
+            diff, //
         },
         state::Change,
     },
@@ -164,23 +164,7 @@
 
     /// Returns the change that publishes the document.
     pub fn change(&self) -> Change {
-        let document = self.document();
-        let mut edits = Vec::new();
-        for (name, part) in document.data_centres {
-            edits.push(Edit::DataCentre(name, Some((*part).clone())));
-        }
-        for (name, part) in document.pools {
-            edits.push(Edit::Pool(name, Some((*part).clone())));
-        }
-        for (name, part) in document.pipelines {
-            edits.push(Edit::Pipeline(name, Some((*part).clone())));
-        }
-        for (name, part) in document.services {
-            edits.push(Edit::Service(name, Some((*part).clone())));
-        }
-        for (name, part) in document.organisations {
-            edits.push(Edit::Organisation(name, Some((*part).clone())));
-        }
+        let edits = diff(&Document::default(), &self.document());
         Change {
             id: Name::from("first"),
             environment: Name::from(ENVIRONMENT),
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -172,7 +172,7 @@
             Some(Word::Answered(_)) => outcome.answered += 1,
             Some(Word::NotRun(_)) => outcome.not_run += 1,
             Some(Word::MayHaveRun(_)) => outcome.may_have_run += 1,
-            Some(Word::Silence) | None => {}
+            None => {}
         }
     }
     outcome
--- a/examples/soak/shrink.rs
+++ b/examples/soak/shrink.rs
@@ -33,8 +33,14 @@
     for text in shrunk.texts.iter().take(3) {
         println!("  {text}");
     }
-    let from = shrunk.trace.len().saturating_sub(TRACE_LINES);
-    for line in &shrunk.trace[from..] {
+    let about = shrunk.texts.first().and_then(|text| request_in(text));
+    let lines: Vec<&String> = shrunk
+        .trace
+        .iter()
+        .filter(|line| is_about(line, about.as_deref()))
+        .collect();
+    let from = lines.len().saturating_sub(TRACE_LINES);
+    for line in &lines[from..] {
         println!("  {line}");
     }
     println!(
@@ -101,3 +107,30 @@
 fn without_changes(plan: &mut Plan) {
     plan.faults.change_every_ms = 0;
 }
+
+/// Returns the request that a violation is about, where it is about one.
+fn request_in(text: &str) -> Option<String> {
+    let word = text.split_whitespace().find(|it| it.contains("request-"))?;
+    Some(word.trim_end_matches(':').to_owned())
+}
+
+/// Returns whether a line tells of a request, or else of a fault, a proposal or the log.
+fn is_about(line: &str, request: Option<&str>) -> bool {
+    let Some(request) = request else {
+        return !line.contains("request-");
+    };
+    let mut words = line.split_whitespace();
+    words.any(|word| word == request) || FAULT_WORDS.iter().any(|word| line.contains(word))
+}
+
+/// Words of those lines that tell of faults.
+const FAULT_WORDS: &[&str] = &[
+    " stops",
+    " starts",
+    " pauses",
+    " leaves",
+    "regions",
+    "log is",
+    "turns cold",
+    "faults end",
+];
--- a/src/core/outcome/ledger/elsewhere.rs
+++ b/src/core/outcome/ledger/elsewhere.rs
@@ -51,7 +51,7 @@
 const ASK_AGAIN_MAX_MS: u64 = 1_000;
 
 /// Time for which an answer is looked for past its deadline, in milliseconds.
-const EXTRA_MS: u64 = 2_000;
+const EXTRA_MS: u64 = 500;
 
 /// Time for which a caller's fetch looks for an answer, in milliseconds.
 const FETCH_MS: u64 = 1_000;
--- a/src/core/routing/pool.rs
+++ b/src/core/routing/pool.rs
@@ -60,6 +60,10 @@
         },
         document,
         host,
+        replica::freshness::{
+            self,
+            Allowance, //
+        },
         view::View, //
     },
     names::Name,
@@ -535,7 +539,7 @@
         call: &Call,
     ) -> (Option<usize>, Vec<Candidate>) {
         if self.policy != Policy::Teaselchute {
-            return self.choose_baseline(view, call);
+            return self.choose_baseline(now, view, call);
         }
         let context = choice::Context {
             now,
@@ -579,7 +583,7 @@
                 values: Vec::new(),
                 passed_over: None,
             };
-            candidate.passed_over = self.unfit(view, call, server);
+            candidate.passed_over = self.unfit(now, view, call, server);
             if candidate.passed_over.is_none() {
                 let score = choice::score(&context, server, hit);
                 candidate.values = vec![
@@ -611,13 +615,16 @@
     }
 
     /// Returns why a server can't take a call, or nothing where it can.
-    fn unfit(&self, view: &View, call: &Call, server: &Server) -> Option<Name> {
+    fn unfit(&self, now: Instant, view: &View, call: &Call, server: &Server) -> Option<Name> {
         if call.avoid.contains(&server.name) {
             return Some(self.words.avoided.clone());
         }
         if view.is_drained(&self.name, &server.name, &server.data_centre) {
             return Some(self.words.drained.clone());
         }
+        if !may_start(now, view, server) {
+            return Some(self.words.stale_news.clone());
+        }
         let loaded = match (&call.model, &server.models) {
             (Some(model), Some(models)) => models.contains(model),
             // With no news of models in the pool, all its servers are taken as able.
@@ -646,10 +653,15 @@
         self.models.get(call.model.as_ref()?)
     }
 
-    fn choose_baseline(&mut self, view: &View, call: &Call) -> (Option<usize>, Vec<Candidate>) {
+    fn choose_baseline(
+        &mut self,
+        now: Instant,
+        view: &View,
+        call: &Call,
+    ) -> (Option<usize>, Vec<Candidate>) {
         let fits = |pool: &Self, index: usize| {
             let server = &pool.servers[index];
-            server.open_at.is_some() && pool.unfit(view, call, server).is_none()
+            server.open_at.is_some() && pool.unfit(now, view, call, server).is_none()
         };
         let open: Vec<usize> = (0..self.servers.len())
             .filter(|&index| fits(self, index))
@@ -1003,3 +1015,15 @@
     }
     &mut stages[stage]
 }
+
+/// Returns whether this host's news is fresh enough for new work in a server's data centre.
+fn may_start(now: Instant, view: &View, server: &Server) -> bool {
+    match freshness::allowance(view, now) {
+        Allowance::All => true,
+        Allowance::OwnRegion => {
+            let data_centre = view.document.data_centres.get(&server.data_centre);
+            data_centre.is_some_and(|it| it.region == view.own.region)
+        }
+        Allowance::Nothing => false,
+    }
+}
--- a/src/core/routing/words.rs
+++ b/src/core/routing/words.rs
@@ -17,6 +17,8 @@
     pub avoided: Name,
     /// Reason: a candidate is taken out.
     pub drained: Name,
+    /// Reason: this host's news is too old for work in the candidate's data centre.
+    pub stale_news: Name,
     /// Reason: a candidate hasn't loaded the model.
     pub no_model: Name,
     /// Reason: a candidate has no room in this host's share.
@@ -50,6 +52,7 @@
             higher_score: Name::from("higher_score"),
             avoided: Name::from("failed_before"),
             drained: Name::from("drained"),
+            stale_news: Name::from("stale_news"),
             no_model: Name::from("model_not_loaded"),
             no_room: Name::from("no_room_in_share"),
             score: Name::from("score_us"),
--- a/tests/core/routing/mod.rs
+++ b/tests/core/routing/mod.rs
@@ -92,7 +92,8 @@
         leaving: false,
         document: Arc::new(document),
         position: Default::default(),
-        fresh_at: Instant::ZERO,
+        // Later than any instant of the tests, so that the news never gets old.
+        fresh_at: Instant::from_ms(u64::MAX),
         drained: Default::default(),
         roster: Roster {
             epoch: 1,
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -379,3 +379,12 @@
     assert_eq!((account.calls, account.answered), (1, 1));
     assert_eq!((account.run_ms, account.price_micro), (100, 1_000));
 }
+
+#[test]
+fn offer_stale_news() {
+    let mut view = view(0, 1, document(1, 4, 32));
+    view.fresh_at = at(0);
+    let mut pool = pool();
+    assert_eq!(offer(&mut pool, &view, at(1_000), 0..1).len(), 1);
+    assert!(offer(&mut pool, &view, at(5_000), 1..2).is_empty());
+}
