--- a/examples/measure/ledgers/mod.rs
+++ b/examples/measure/ledgers/mod.rs
@@ -476,6 +476,7 @@
             view: View {
                 own,
                 serving: true,
+                serving_since: None,
                 leaving: false,
                 document: self.document.clone(),
                 position: Position::default(),
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,6 +4,7 @@
 mod driver;
 
 mod ledgers;
+mod membership;
 mod options;
 mod outcome;
 mod slopes;
@@ -14,7 +15,11 @@
 type Case = fn(&options::Options) -> bool;
 
 /// All cases by name. Each stands in a module of its own.
-const CASES: &[(&str, Case)] = &[("outcome", outcome::measure), ("slopes", slopes::run)];
+const CASES: &[(&str, Case)] = &[
+    ("membership", membership::measure),
+    ("outcome", outcome::measure),
+    ("slopes", slopes::run),
+];
 
 fn main() -> ExitCode {
     let options = match options::parse(std::env::args().skip(1)) {
--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -325,6 +325,11 @@
         self.table.is_vacant(id)
     }
 
+    /// Returns since when this host serves.
+    pub fn serving_since(&self) -> Option<Instant> {
+        self.serving_since
+    }
+
     /// Returns whether others hold this host's own life for over, so that it must start no work.
     pub fn is_over(&self) -> bool {
         self.is_over
@@ -421,7 +426,8 @@
                 continue;
             };
             let host = entry.host.clone();
-            for helper in self.prober.helpers(self.table.members(), &target) {
+            let members = self.table.members();
+            for helper in self.prober.helpers(members, &self.own, &host) {
                 out.push(Action::Send {
                     to: helper,
                     message: Message::PingFor {
@@ -655,6 +661,9 @@
             Change::Leaving => "leaving",
             Change::Gone => "gone_told",
         };
+        if change == Change::Joined {
+            self.prober.join(&news.host.id);
+        }
         self.decide(now, &news, rule, 0, out);
         self.rumours.put(news);
     }
--- a/src/core/membership/probe.rs
+++ b/src/core/membership/probe.rs
@@ -29,8 +29,14 @@
 /// Time after which a host that is silent to all is suspected, in milliseconds.
 const SILENT_MS: u64 = 1_000;
 
-/// Hosts that are asked to ping a silent one.
-const HELPERS: usize = 3;
+/// Times that others are asked about one silent host.
+const ASKS: u64 = 2;
+
+/// Hosts that are asked to ping a silent one, each time.
+const HELPERS: usize = 4;
+
+/// How many of them stand in a third region, where there is one.
+const THIRD_REGION_HELPERS: usize = 2;
 
 /// Largest factor by which a host that hears little stretches its own limits.
 const SLOWNESS_LIMIT: u64 = 3;
@@ -41,7 +47,7 @@
 struct Probe {
     target: Id,
     at: Instant,
-    is_late: bool,
+    asks: u64,
     /// Silence suspects the target. Otherwise the target is in doubt already.
     is_first: bool,
 }
@@ -105,6 +111,12 @@
         None
     }
 
+    /// Takes a host that just came into the current round, at a place that is drawn.
+    pub(super) fn join(&mut self, id: &Id) {
+        let place = self.rng.random_range(0..=self.order.len() as u64) as usize;
+        self.order.insert(place, id.clone());
+    }
+
     /// Draws one of some hosts.
     pub(super) fn pick(&mut self, hosts: &[Host]) -> Option<Host> {
         if hosts.is_empty() {
@@ -127,9 +139,17 @@
         drawn.iter().map(|member| member.host.clone()).collect()
     }
 
-    pub(super) fn helpers(&mut self, members: &[Member], target: &Id) -> Vec<Host> {
-        let mut helpers = self.draw(members, HELPERS + 1);
-        helpers.retain(|host| host.id != *target);
+    /// Draws hosts that ping a silent one on this host's behalf.
+    ///
+    /// Those of a third region come first, since two regions may have lost each other.
+    pub(super) fn helpers(&mut self, members: &[Member], own: &Host, target: &Host) -> Vec<Host> {
+        let mut drawn = self.draw(members, members.len());
+        drawn.retain(|host| host.id != target.id);
+        let (mut helpers, others): (Vec<Host>, Vec<Host>) = drawn
+            .into_iter()
+            .partition(|host| host.region != own.region && host.region != target.region);
+        helpers.truncate(THIRD_REGION_HELPERS);
+        helpers.extend(others);
         helpers.truncate(HELPERS);
         helpers
     }
@@ -149,7 +169,7 @@
         let probe = Probe {
             target: target.clone(),
             at: now,
-            is_late: false,
+            asks: 0,
             is_first,
         };
         self.probes.insert(self.number, probe);
@@ -202,8 +222,11 @@
             let waited_ms = now.since_ms(probe.at);
             if waited_ms >= SILENT_MS * factor {
                 silent.push(*number);
-            } else if probe.is_first && !probe.is_late && waited_ms >= LATE_MS * factor {
-                probe.is_late = true;
+            } else if probe.is_first
+                && probe.asks < ASKS
+                && waited_ms >= LATE_MS * factor * (probe.asks + 1)
+            {
+                probe.asks += 1;
                 due.late.push((*number, probe.target.clone()));
             }
         }
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -119,6 +119,7 @@
         View {
             own: self.own.clone(),
             serving: self.replica.is_current(),
+            serving_since: self.membership.serving_since(),
             leaving: self.leaving || self.membership.is_over(),
             document,
             position: self.replica.position(),
--- a/src/core/view/mod.rs
+++ b/src/core/view/mod.rs
@@ -59,6 +59,8 @@
     /// Whether the host may serve: its state is at least as new as what was accepted before it
     /// started.
     pub serving: bool,
+    /// Since when the host serves, on its own clock.
+    pub serving_since: Option<Instant>,
     /// Whether the host is leaving.
     pub leaving: bool,
     /// The document in force.
--- a/tests/core/routing/mod.rs
+++ b/tests/core/routing/mod.rs
@@ -89,6 +89,7 @@
     View {
         own: host(own),
         serving: true,
+        serving_since: None,
         leaving: false,
         document: Arc::new(document),
         position: Default::default(),
