Measure a rolling restart under load, and keep ticks cheap

Cause: nothing showed that a graceful shutdown interrupts nothing. A host now notes the keeper in the entry, and expires answers in the order of their age.

--- a/examples/measure/ledgers/servers.rs
+++ b/examples/measure/ledgers/servers.rs
@@ -41,6 +41,7 @@
     service_ms: u64,
     pieces: u64,
     slots: usize,
+    busy_ms: u64,
     running: BTreeMap<Key, Call>,
     waiting: VecDeque<(Key, Call)>,
 }
@@ -55,6 +56,7 @@
             service_ms,
             pieces,
             slots,
+            busy_ms: 0,
             running: BTreeMap::new(),
             waiting: VecDeque::new(),
         }
@@ -128,9 +130,9 @@
             let jitter_ms = self.driver.draw(service_ms / 2 + 1);
             let slow = !self.quiet && self.driver.chance(self.plan.faults.server_permille);
             let factor = if slow { 20 } else { 1 };
-            let done = Event::Done(life, key);
-            self.driver
-                .put((service_ms + jitter_ms) * factor, process, done);
+            let took_ms = (service_ms + jitter_ms) * factor;
+            self.servers[process - self.first_server].busy_ms += took_ms;
+            self.driver.put(took_ms, process, Event::Done(life, key));
         }
     }
 
@@ -243,6 +245,15 @@
         }
     }
 
+    /// Returns the load of a pool while callers came, in parts of a thousand of what it carries.
+    pub fn load_permille(&self, pool: &str) -> u64 {
+        let servers = self.servers.iter().filter(|server| server.pool == pool);
+        let (busy_ms, slots) = servers.fold((0, 0), |(busy_ms, slots), server| {
+            (busy_ms + server.busy_ms, slots + server.slots as u64)
+        });
+        1_000 * busy_ms / (slots * self.plan.load_ms).max(1)
+    }
+
     /// Returns the count of servers.
     pub(super) fn servers(&self) -> usize {
         self.servers.len()
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -10,6 +10,7 @@
 mod options;
 mod outcome;
 mod overload;
+mod shutdown;
 mod slopes;
 
 use std::process::ExitCode;
@@ -23,6 +24,7 @@
     ("membership", membership::measure),
     ("outcome", outcome::measure),
     ("overload", overload::run),
+    ("shutdown", shutdown::measure),
     ("slopes", slopes::run),
 ];
 
--- a/src/core/outcome/answers.rs
+++ b/src/core/outcome/answers.rs
@@ -21,10 +21,14 @@
     Subject, //
 };
 use crate::{
-    core::call::{
-        Body,
-        Request, //
+    core::{
+        call::{
+            Body,
+            Request, //
+        },
+        host, //
     },
+    names::Name,
     time::Instant,
 };
 
@@ -136,6 +140,8 @@
     pub digest: Digest,
     /// What is kept.
     pub content: Content,
+    /// The host that acknowledged a copy.
+    pub keeper: Option<host::Id>,
     at: Instant,
     bytes: usize,
 }
@@ -191,6 +197,7 @@
             class,
             digest,
             content,
+            keeper: None,
             at: now,
             bytes,
         };
@@ -219,14 +226,29 @@
 
     /// Drops what was kept for its whole time.
     pub fn expire(&mut self, now: Instant) {
-        let expired: Vec<Request> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| now.since_ms(entry.at) > KEEP_MS)
-            .map(|(request, _)| request.clone())
-            .collect();
-        for request in expired {
-            self.drop_entry(&request);
+        for class in [Class::Stage, Class::Copy, Class::Answer, Class::Order] {
+            while let Some(request) = self.expired(now, class) {
+                self.drop_entry(&request);
+            }
+        }
+    }
+
+    /// Returns the oldest request of a class, where it was kept for its whole time.
+    fn expired(&self, now: Instant, class: Class) -> Option<Request> {
+        let nobody = Request {
+            organisation: Name::from(""),
+            id: Name::from(""),
+        };
+        let mut order = self.order.range((class, Instant::ZERO, nobody)..);
+        let (found, at, request) = order.next()?;
+        let is_old = *found == class && now.since_ms(*at) > KEEP_MS;
+        is_old.then(|| request.clone())
+    }
+
+    /// Notes which host acknowledged a copy of what is kept.
+    pub fn set_keeper(&mut self, request: &Request, keeper: &host::Id) {
+        if let Some(entry) = self.entries.get_mut(request) {
+            entry.keeper = Some(keeper.clone());
         }
     }
 
--- a/src/core/outcome/ledger/keep.rs
+++ b/src/core/outcome/ledger/keep.rs
@@ -22,7 +22,8 @@
             answers::{
                 Class,
                 Content,
-                Digest, //
+                Digest,
+                Entry, //
             },
             ticket,
         },
@@ -63,8 +64,6 @@
 #[derive(Default)]
 pub(super) struct Copies {
     open: BTreeMap<Request, Copying>,
-    /// Where each kept answer has its copy.
-    placed: BTreeMap<Request, host::Id>,
     /// What a leaving host has handed over.
     handed_over: BTreeSet<Request>,
     /// Kept answers that are still to be handed over.
@@ -76,15 +75,16 @@
         self.open.len() + self.left
     }
 
-    /// Takes a keeper's word that it has a copy.
-    pub(super) fn acknowledged(&mut self, from: &host::Id, request: &Request, part: Part) {
+    /// Takes a keeper's word that it has a copy, and returns whether it is the one awaited.
+    fn acknowledged(&mut self, from: &host::Id, request: &Request, part: Part) -> bool {
         let Some(copying) = self.open.get(request) else {
-            return;
+            return false;
         };
-        if copying.to == *from && copying.copy.part() == part {
+        let awaited = copying.to == *from && copying.copy.part() == part;
+        if awaited {
             self.open.remove(request);
-            self.placed.insert(request.clone(), from.clone());
         }
+        awaited
     }
 }
 
@@ -210,6 +210,13 @@
         cx.send(from, Message::Kept { request, part });
     }
 
+    /// Takes a keeper's word that it has a copy.
+    pub(super) fn kept(&mut self, from: &host::Id, request: &Request, part: Part) {
+        if self.copies.acknowledged(from, request, part) {
+            self.answers.set_keeper(request, from);
+        }
+    }
+
     pub(super) fn tick_copies(&mut self, cx: &mut Context<'_>) {
         let due: Vec<Request> = self
             .copies
@@ -221,10 +228,6 @@
         for request in &due {
             self.send_copy(cx, request);
         }
-        let answers = &self.answers;
-        self.copies
-            .placed
-            .retain(|request, _| answers.get(request).is_some());
         if cx.view.leaving {
             self.hand_over(cx);
         }
@@ -235,10 +238,10 @@
         let mut left: Vec<Request> = self
             .answers
             .iter()
+            .filter(|(_, entry)| !has_keeper(cx.view, entry))
             .map(|(request, _)| request)
             .filter(|request| !self.copies.handed_over.contains(*request))
             .filter(|request| !self.copies.open.contains_key(*request))
-            .filter(|request| !self.is_placed(cx.view, request))
             .cloned()
             .collect();
         let now = left.len().min(HAND_OVER_PER_TICK);
@@ -256,12 +259,13 @@
             self.copy(cx, &request, None, copy);
         }
     }
+}
 
-    fn is_placed(&self, view: &View, request: &Request) -> bool {
-        let keeper = self.copies.placed.get(request);
-        let member = keeper.and_then(|keeper| view.member(keeper));
-        member.is_some_and(|member| member.health == Health::Alive)
-    }
+/// Returns whether a host that lives and stays has a copy.
+fn has_keeper(view: &View, entry: &Entry) -> bool {
+    let keeper = entry.keeper.as_ref();
+    let member = keeper.and_then(|keeper| view.member(keeper));
+    member.is_some_and(|member| member.health == Health::Alive)
 }
 
 /// Returns where a copy belongs.
--- a/src/core/outcome/ledger/mod.rs
+++ b/src/core/outcome/ledger/mod.rs
@@ -56,9 +56,12 @@
 /// Time for which callers may keep an address, in milliseconds: a leaving host serves that long.
 pub const ADDRESS_KEEP_MS: u64 = 10_000;
 
-/// Time between two looks for what is too old to keep, in milliseconds.
+/// Time between two looks for answers that are too old to keep, in milliseconds.
 const EXPIRE_EVERY_MS: u64 = 1_000;
 
+/// Time between two looks for generations that the home may forget, in milliseconds.
+const FORGET_EVERY_MS: u64 = 30_000;
+
 /// What was dropped because it didn't match, and how often requests were repeated.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -223,6 +226,7 @@
     copies: Copies,
     leaving_since: Option<Instant>,
     expired_at: Instant,
+    forgot_at: Instant,
     counters: Counters,
 }
 
@@ -244,6 +248,7 @@
             copies: Copies::default(),
             leaving_since: None,
             expired_at: Instant::ZERO,
+            forgot_at: Instant::ZERO,
             counters: Counters::default(),
         }
     }
@@ -322,6 +327,9 @@
         if cx.now.since_ms(self.expired_at) >= EXPIRE_EVERY_MS {
             self.expired_at = cx.now;
             self.answers.expire(cx.now);
+        }
+        if cx.now.since_ms(self.forgot_at) >= FORGET_EVERY_MS {
+            self.forgot_at = cx.now;
             self.home.forget(cx.now);
         }
     }
@@ -438,7 +446,7 @@
                 ticket,
                 copy,
             } => self.keep(cx, &from, request, ticket, copy),
-            Message::Kept { request, part } => self.copies.acknowledged(&from, &request, part),
+            Message::Kept { request, part } => self.kept(&from, &request, part),
         }
     }
 
