Name requests in decisions by organisation and id

Ids are the callers' own, so those of two organisations may be the same, and why by id alone would have shown one the decisions about the other's. Route decisions also name their stage now.

--- a/src/core/call/mod.rs
+++ b/src/core/call/mod.rs
@@ -24,6 +24,13 @@
     pub id: Name,
 }
 
+impl Request {
+    /// Returns the subject of decisions about it. Ids of two organisations may be the same.
+    pub fn subject(&self) -> Name {
+        self.to_string().into()
+    }
+}
+
 impl fmt::Display for Request {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.organisation, self.id)
--- a/src/core/outcome/ledger/mod.rs
+++ b/src/core/outcome/ledger/mod.rs
@@ -138,7 +138,7 @@
         self.out.push(Action::Decide(Decision {
             at: self.now,
             kind,
-            subject: request.id.clone(),
+            subject: request.subject(),
             stage: None,
             rule: rule.into(),
             choice: choice.into(),
--- a/src/core/routing/pool.rs
+++ b/src/core/routing/pool.rs
@@ -493,8 +493,8 @@
         out.push(Action::Decide(Decision {
             at: now,
             kind: Kind::Route,
-            subject: call.request.id.clone(),
-            stage: None,
+            subject: call.request.subject(),
+            stage: Some(call.stage.to_string().into()),
             rule: match self.policy {
                 Policy::Teaselchute => self.words.lowest_score.clone(),
                 _ => self.words.baseline.clone(),
--- a/src/shell/http/requests.rs
+++ b/src/shell/http/requests.rs
@@ -176,7 +176,7 @@
         Ok(draft) => draft,
         Err(refusal) => return refuse(&shell, None, &refusal),
     };
-    let subject = draft.request.to_string();
+    let subject = draft.request.subject();
     let why = find_why(&shell, draft.request.id.clone(), &subject);
     if why.decisions.is_empty() {
         let detail = "this host keeps no decision about the request";
