--- a/src/edges/http/client.rs
+++ b/src/edges/http/client.rs
@@ -35,6 +35,10 @@
 /// Time for which an idle connection is kept, in seconds.
 const IDLE_S: u16 = 10;
 
+/// Open connections of one thread. The library takes 0 for no limit, but then wakes nobody who waits
+/// while another connection to the same address opens.
+const MAX_CONNECTIONS: usize = 65_536;
+
 /// Longest life of a connection, so that one that an appliance forgot is replaced, in seconds.
 const LIFETIME_S: u16 = 300;
 
@@ -148,7 +152,7 @@
 async fn build(limits: &Limits, idle: Seconds) -> Result<client::Client, Error> {
     let io = IoConfig::new().set_connect_timeout(Millis(limits.connect_timeout_ms));
     let connector = Connector::default()
-        .limit(0)
+        .limit(MAX_CONNECTIONS)
         .keep_alive(idle)
         .lifetime(Seconds(LIFETIME_S));
     client::Client::builder()
--- a/src/shell/daemon.rs
+++ b/src/shell/daemon.rs
@@ -109,13 +109,14 @@
     pub unfinished: usize,
 }
 
-/// A running daemon.
+/// A running daemon, cheap to clone.
+#[derive(Clone)]
 pub struct Daemon {
     shell: Arc<Shell>,
     addresses: Addresses,
     server: ntex::server::Server,
-    stop_control: Mutex<Option<oneshot::Sender<()>>>,
-    threads: Mutex<Vec<JoinHandle<()>>>,
+    stop_control: Arc<Mutex<Option<oneshot::Sender<()>>>>,
+    threads: Arc<Mutex<Vec<JoinHandle<()>>>>,
 }
 
 /// Starts a daemon whose edges speak HTTP, logging to standard output.
@@ -171,8 +172,8 @@
         shell,
         addresses,
         server,
-        stop_control: Mutex::new(Some(stop_control)),
-        threads: Mutex::new(vec![control, http]),
+        stop_control: Arc::new(Mutex::new(Some(stop_control))),
+        threads: Arc::new(Mutex::new(vec![control, http])),
     })
 }
 
@@ -301,7 +302,7 @@
             thread::sleep(Duration::from_millis(LOOK_MS));
             let waited_ms = self.shell.now().since_ms(start);
             let unfinished = self.shell.exchanges.count();
-            let is_done = waited_ms >= LINGER_MS && unfinished == 0;
+            let is_done = waited_ms >= LINGER_MS && unfinished == 0 && self.shell.node.is_idle();
             if is_done || waited_ms >= limit_ms || self.shell.must_hurry() {
                 slog::info!(self.shell.logger, "left"; "unfinished" => unfinished);
                 self.stop(true);
--- a/src/shell/http/operator.rs
+++ b/src/shell/http/operator.rs
@@ -66,7 +66,7 @@
         .route("/status", web::get().to(status))
         .route("/hosts", web::get().to(hosts))
         .route("/servers", web::get().to(servers))
-        .route("/why/{id:.*}", web::get().to(why))
+        .route("/why/{id}*", web::get().to(why))
         .route("/drains", web::post().to(drain))
         .route("/environments/{name}/document", web::get().to(read))
         .route("/environments/{name}/changes", web::post().to(change));
--- a/src/shell/logging.rs
+++ b/src/shell/logging.rs
@@ -1,11 +1,15 @@
 //! The daemon's log: one JSON object a line, written by a thread of its own.
 
-use std::io::Write;
+use std::io::{
+    LineWriter,
+    Write, //
+};
 
 use slog::{
     Drain,
     FnValue,
     Logger,
+    Serde,
     o, //
 };
 
@@ -19,7 +23,7 @@
 
 /// Opens a log that writes to `out`.
 pub fn open(out: impl Write + Send + 'static, level: LogLevel) -> Logger {
-    let json = slog_json::Json::new(out)
+    let json = slog_json::Json::new(LineWriter::new(out))
         .set_flush(true)
         .add_key_value(o!(
             "at" => FnValue(|_| unix_ms()),
@@ -50,7 +54,7 @@
 
 /// Logs a decision, from the same value that `why` answers with.
 pub fn log_decision(logger: &Logger, decision: &Decision) {
-    // The line is only made where the level asks for it.
-    let json = FnValue(|_| serde_json::to_string(decision).unwrap_or_default());
-    slog::info!(logger, "decision"; "decision" => json);
+    if logger.is_enabled(slog::Level::Info) {
+        slog::info!(logger, "decision"; "decision" => Serde(decision.clone()));
+    }
 }
--- a/tests/stand_ins/caller.rs
+++ b/tests/stand_ins/caller.rs
@@ -81,7 +81,7 @@
 impl Caller {
     /// Makes a caller who knows some hosts.
     pub async fn new(known: Vec<SocketAddr>, organisation: &str, credential: &str) -> Self {
-        let connector = Connector::default().limit(0).keep_alive(Seconds(5));
+        let connector = Connector::default().limit(1_000).keep_alive(Seconds(5));
         let client = Client::builder()
             .connector::<()>(connector)
             .disable_timeout()
@@ -240,7 +240,8 @@
 fn refused(body: &[u8]) -> Outcome {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     let refusal = &value["refusal"];
-    let code = refusal["code"].as_str().unwrap_or("none").to_string();
+    let word = |field: &str| refusal[field].as_str().unwrap_or("none").to_string();
+    let code = format!("{}: {}", word("code"), word("detail"));
     match refusal["run"].as_str() {
         Some("not_run") => Outcome::NotRun(code),
         _ => Outcome::MayHaveRun(code),
--- a/tests/stand_ins/cluster.rs
+++ b/tests/stand_ins/cluster.rs
@@ -42,7 +42,12 @@
 };
 
 use super::{
-    StandIn, StandIns, free_port,
+    StandIn, StandIns,
+    caller::{
+        Caller,
+        Outcome, //
+    },
+    free_port,
     platform::{
         Hosts,
         Log, //
@@ -193,6 +198,17 @@
         for address in self.addresses() {
             wait_ready(address).await;
         }
+        self.wait_warm().await;
+    }
+
+    /// Waits until each host has brought a request through all stages.
+    async fn wait_warm(&self) {
+        for (number, address) in self.addresses().into_iter().enumerate() {
+            let caller = Caller::new(vec![address], "sorters", CREDENTIAL).await;
+            let id = format!("warm-{number}");
+            let outcome = caller.ask("notes", &id, r#"{"prompt":"warm"}"#).await;
+            assert!(matches!(outcome, Outcome::Answer(_)), "{id}: {outcome:?}");
+        }
     }
 
     /// Takes a data centre out, or brings it back.
