--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -5,6 +5,7 @@
 
 mod address;
 mod membership;
+mod outcome;
 mod replica;
 mod roster;
 mod routing;
--- /dev/null
+++ b/tests/core/outcome/memory.rs
@@ -0,0 +1,170 @@
+//! Tests of the memories of witness and home, which forget whole generations.
+
+use teaselchute::{
+    core::{
+        call::Request,
+        host::Id,
+        outcome::{
+            Standing, Ticket, Unprepared,
+            home::{
+                End,
+                Home,
+                KEEP_MS,
+                Record, //
+            },
+            ticket::{
+                GENERATION_MS,
+                KEEP_GENERATIONS,
+                START_GENERATIONS, //
+            },
+            witness::Witness,
+        },
+    },
+    names::Name,
+    time::Instant,
+};
+
+const DIGEST: [u8; 32] = [7; 32];
+
+#[test]
+fn prepare_twice() {
+    let mut witness = Witness::new(10);
+    let ticket = ticket(0);
+    assert_eq!(prepare(&mut witness, 0, &ticket, 1), Ok(()));
+    assert_eq!(prepare(&mut witness, 0, &ticket, 1), Ok(()));
+    assert_eq!(prepare(&mut witness, 0, &ticket, 2), Err(Unprepared::Taken));
+    assert_eq!(
+        witness.seal(at(0), &request(1), &ticket),
+        Standing::Prepared
+    );
+}
+
+#[test]
+fn prepare_sealed() {
+    let mut witness = Witness::new(10);
+    let ticket = ticket(0);
+    assert_eq!(witness.seal(at(0), &request(1), &ticket), Standing::Sealed);
+    assert_eq!(
+        prepare(&mut witness, 0, &ticket, 1),
+        Err(Unprepared::Sealed)
+    );
+    witness.end(&request(1), &ticket, None);
+    assert_eq!(witness.look(at(0), &request(1), &ticket), Standing::Sealed);
+}
+
+#[test]
+fn prepare_expired() {
+    let mut witness = Witness::new(10);
+    let ticket = ticket(0);
+    let late = START_GENERATIONS + 1;
+    assert_eq!(
+        prepare(&mut witness, late, &ticket, 1),
+        Err(Unprepared::Expired)
+    );
+    assert_eq!(
+        witness.look(at(late), &request(1), &ticket),
+        Standing::Sealed
+    );
+}
+
+#[test]
+fn prepare_forgotten() {
+    let mut witness = Witness::new(10);
+    let ticket = ticket(0);
+    let late = KEEP_GENERATIONS + 1;
+    assert_eq!(prepare(&mut witness, 0, &ticket, 1), Ok(()));
+    assert_eq!(
+        prepare(&mut witness, late, &ticket, 2),
+        Err(Unprepared::Forgotten)
+    );
+    assert_eq!(
+        witness.seal(at(late), &request(1), &ticket),
+        Standing::Forgotten
+    );
+    assert!(witness.is_empty());
+}
+
+#[test]
+fn prepare_full() {
+    let mut witness = Witness::new(2);
+    for number in 1..=2 {
+        let answer = witness.prepare(at(5), &request(number), &ticket(5), 1, DIGEST);
+        assert_eq!(answer, Ok(()));
+    }
+    let third = witness.prepare(at(5), &request(3), &ticket(5), 1, DIGEST);
+    assert_eq!(third, Err(Unprepared::Full));
+    // A later generation pushes the whole former one out, which then is refused for ever.
+    let later = witness.prepare(at(6), &request(3), &ticket(6), 1, DIGEST);
+    assert_eq!(later, Ok(()));
+    let former = witness.prepare(at(6), &request(4), &ticket(5), 1, DIGEST);
+    assert_eq!(former, Err(Unprepared::Forgotten));
+}
+
+#[test]
+fn home_forget_waits_for_all() {
+    let mut home = Home::new(10);
+    for number in 1..=2 {
+        assert!(home.insert(&request(number), record(0)));
+    }
+    home.end(Instant::ZERO, &request(1), End::Ran);
+    home.forget(Instant::from_ms(KEEP_MS + 1));
+    assert_eq!(home.len(), 2);
+    assert!(!home.is_forgotten(&ticket(0)));
+    home.end(Instant::from_ms(1), &request(2), End::Ran);
+    home.forget(Instant::from_ms(KEEP_MS + 2));
+    assert!(home.is_empty());
+    assert!(home.is_forgotten(&ticket(0)));
+    assert!(!home.is_forgotten(&ticket(1)));
+}
+
+#[test]
+fn home_insert_full() {
+    let mut home = Home::new(2);
+    assert!(home.insert(&request(1), record(0)));
+    assert!(home.insert(&request(2), record(1)));
+    // Nothing ended, so that nothing may be forgotten.
+    assert!(!home.insert(&request(3), record(1)));
+    home.end(Instant::ZERO, &request(1), End::Ran);
+    assert!(home.insert(&request(3), record(1)));
+    assert!(home.is_forgotten(&ticket(0)));
+}
+
+fn prepare(
+    witness: &mut Witness,
+    generation: u64,
+    ticket: &Ticket,
+    nonce: u64,
+) -> Result<(), Unprepared> {
+    witness.prepare(at(generation), &request(1), ticket, nonce, DIGEST)
+}
+
+fn at(generation: u64) -> Instant {
+    Instant::from_ms(generation * GENERATION_MS)
+}
+
+fn record(generation: u64) -> Record {
+    Record {
+        ticket: ticket(generation),
+        digest: DIGEST,
+        end: None,
+    }
+}
+
+fn ticket(generation: u64) -> Ticket {
+    let id = |name| Id {
+        name: Name::from(name),
+        incarnation: 1,
+    };
+    Ticket {
+        home: id("home"),
+        witness: id("witness"),
+        generation,
+    }
+}
+
+fn request(number: usize) -> Request {
+    Request {
+        organisation: Name::from("stalls"),
+        id: Name::from(format!("request-{number}")),
+    }
+}
--- /dev/null
+++ b/tests/core/outcome/mod.rs
@@ -0,0 +1,392 @@
+//! Tests of outcomes, with ledgers of a few hosts and a network that the test cuts by hand.
+
+mod answers;
+mod elsewhere;
+mod idempotent;
+mod leaving;
+mod memory;
+mod orders;
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use teaselchute::{
+    core::{
+        call::{
+            self,
+            Body,
+            Call,
+            End,
+            Request, //
+        },
+        document::{
+            Document,
+            Kind,
+            Pipeline,
+            Pool,
+            Service,
+            Stage, //
+        },
+        host::{
+            Host,
+            Id, //
+        },
+        outcome::{
+            Action,
+            Ask,
+            Caller,
+            Event,
+            Message,
+            Policy,
+            Subject,
+            Ticket,
+            ledger::Ledger,
+            ticket, //
+        },
+        refusal::Refusal,
+        state::{
+            Position,
+            Roster, //
+        },
+        view::{
+            Health,
+            Member,
+            View, //
+        },
+    },
+    names::Name,
+    time::Instant,
+};
+
+/// Time of a call on the pools of the tests, in milliseconds.
+pub const CALL_TIMEOUT_MS: u64 = 1_000;
+
+/// Deadline of all requests of the tests, in milliseconds.
+pub const DEADLINE_MS: u64 = 2_000;
+
+/// Ledgers of a few hosts, each in a data centre of its own.
+pub struct Bench {
+    pub now: Instant,
+    pub views: Vec<View>,
+    pub ledgers: Vec<Option<Ledger>>,
+    /// Pairs of hosts between which nothing gets through, one way.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Calls that were offered and not yet ended, with their host.
+    pub offers: Vec<(usize, Call)>,
+    /// Calls that were cancelled.
+    pub cancelled: Vec<call::Id>,
+    /// What callers were given.
+    pub given: Vec<Action>,
+    frames: VecDeque<(usize, Id, Message)>,
+}
+
+impl Bench {
+    pub fn new(hosts: usize) -> Self {
+        let ids: Vec<Host> = (0..hosts).map(|index| host(index, 1)).collect();
+        let views = (0..hosts).map(|own| view(&ids, own)).collect();
+        Self {
+            now: Instant::from_ms(100_000),
+            views,
+            ledgers: (0..hosts)
+                .map(|_| Some(Ledger::new(0, 1, Policy::Teaselchute)))
+                .collect(),
+            cut: BTreeSet::new(),
+            offers: Vec::new(),
+            cancelled: Vec::new(),
+            given: Vec::new(),
+            frames: VecDeque::new(),
+        }
+    }
+
+    /// Tells a host something and lets all frames that follow arrive.
+    pub fn tell(&mut self, host: usize, event: Event) {
+        self.step(host, event);
+        while let Some((from, to, message)) = self.frames.pop_front() {
+            let target = self.views.iter().position(|view| view.own.id == to);
+            let Some(target) = target.filter(|target| !self.cut.contains(&(from, *target))) else {
+                continue;
+            };
+            let from = self.views[from].own.id.clone();
+            self.step(target, Event::Message { from, message });
+        }
+    }
+
+    fn step(&mut self, host: usize, event: Event) {
+        let Some(ledger) = &mut self.ledgers[host] else {
+            return;
+        };
+        for action in ledger.step(self.now, &self.views[host], event) {
+            match action {
+                Action::Offer(call) => self.offers.push((host, call)),
+                Action::Cancel { call, .. } => self.cancelled.push(call),
+                Action::Send { to, message } => self.frames.push_back((host, to, message)),
+                Action::Decide(_) => {}
+                action => self.given.push(action),
+            }
+        }
+    }
+
+    /// Lets time pass, with ticks.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now.after_ms(ms);
+        while self.now < end {
+            self.now = self.now.after_ms(50);
+            for host in 0..self.ledgers.len() {
+                self.tell(host, Event::Tick);
+            }
+        }
+    }
+
+    /// Stops a host, which the others notice where `noticed`.
+    pub fn crash(&mut self, host: usize, noticed: bool) {
+        self.ledgers[host] = None;
+        let id = self.views[host].own.id.clone();
+        if noticed {
+            for view in &mut self.views {
+                view.members.retain(|member| member.host.id != id);
+            }
+        }
+    }
+
+    /// Starts a host in a new life, which all others notice.
+    pub fn restart(&mut self, index: usize) {
+        self.crash(index, true);
+        self.ledgers[index] = Some(Ledger::new(0, 1, Policy::Teaselchute));
+        self.views[index].own = host(index, 2);
+        let member = member(&self.views[index].own);
+        for (other, view) in self.views.iter_mut().enumerate() {
+            if other != index {
+                view.members.push(member.clone());
+            }
+        }
+    }
+
+    pub fn ticket(&self, home: usize) -> Ticket {
+        let view = &self.views[home];
+        ticket::issue(self.now, view, &view.own).expect("another host is alive")
+    }
+
+    /// Returns the index of a ticket's witness.
+    pub fn witness(&self, ticket: &Ticket) -> usize {
+        let witness = &ticket.witness.name;
+        let mut views = self.views.iter();
+        views
+            .position(|view| view.own.id.name == *witness)
+            .expect("the witness is one of the hosts")
+    }
+
+    /// Returns a host that is neither the ticket's home nor its witness.
+    pub fn third(&self, ticket: &Ticket) -> usize {
+        let named = [&ticket.home.name, &ticket.witness.name];
+        let mut views = self.views.iter();
+        views
+            .position(|view| !named.contains(&&view.own.id.name))
+            .expect("there are three hosts")
+    }
+
+    pub fn ask(&mut self, host: usize, caller: u64, ask: &Ask) {
+        let ask = Box::new(ask.clone());
+        let caller = Caller(caller);
+        self.tell(host, Event::Ask { caller, ask });
+    }
+
+    /// Ends the oldest call that was offered.
+    pub fn end(&mut self, end: End) -> Call {
+        let (host, call) = self.offers.remove(0);
+        let server = Name::from(format!("server-{}", call.attempt));
+        let id = call.id;
+        let event = Event::Ended {
+            call: id,
+            server,
+            end,
+        };
+        self.tell(host, event);
+        call
+    }
+
+    pub fn piece(&mut self, index: u64, piece: &str) {
+        let (host, call) = self.offers[0].clone();
+        let event = Event::Piece {
+            call: call.id,
+            index,
+            piece: body(piece),
+        };
+        self.tell(host, event);
+    }
+
+    /// Returns the only refusal of a caller.
+    pub fn refusal(&self, wanted: u64) -> &Refusal {
+        let mut refusals = self.given.iter().filter_map(|action| match action {
+            Action::Refuse {
+                caller, refusal, ..
+            } if caller.0 == wanted => Some(refusal),
+            _ => None,
+        });
+        let refusal = refusals.next().expect("the caller was refused");
+        assert_eq!(refusals.next(), None);
+        refusal
+    }
+
+    /// Returns the answers that a caller got.
+    pub fn answers(&self, wanted: u64) -> Vec<String> {
+        let answers = self.given.iter().filter_map(|action| match action {
+            Action::Answer { caller, body, .. } if caller.0 == wanted => {
+                Some(String::from_utf8_lossy(body).into_owned())
+            }
+            _ => None,
+        });
+        answers.collect()
+    }
+
+    /// Returns the pieces that a caller got.
+    pub fn pieces(&self, wanted: u64) -> Vec<(u64, String)> {
+        let pieces = self.given.iter().filter_map(|action| match action {
+            Action::Piece {
+                caller,
+                index,
+                piece,
+            } if caller.0 == wanted => Some((*index, String::from_utf8_lossy(piece).into_owned())),
+            _ => None,
+        });
+        pieces.collect()
+    }
+
+    pub fn ledger(&self, host: usize) -> &Ledger {
+        self.ledgers[host].as_ref().expect("the host is up")
+    }
+}
+
+pub fn body(text: &str) -> Body {
+    text.as_bytes().into()
+}
+
+pub fn answered(text: &str) -> End {
+    End::Answered(body(text))
+}
+
+/// Returns an order under a ticket.
+pub fn order(ticket: &Ticket) -> Ask {
+    Ask {
+        request: Request {
+            organisation: Name::from("stalls"),
+            id: ticket.request_id("order-1"),
+        },
+        subject: Subject::Service(Name::from("place-order")),
+        ticket: Some(ticket.clone()),
+        ..chat()
+    }
+}
+
+/// Returns a request of the pipeline.
+pub fn chat() -> Ask {
+    Ask {
+        request: Request {
+            organisation: Name::from("stalls"),
+            id: Name::from("chat-1"),
+        },
+        subject: Subject::Pipeline(Name::from("chat")),
+        priority: None,
+        deadline_ms: None,
+        ticket: None,
+        prefix: 0,
+        resume_from: 0,
+        retried: false,
+        body: body("sugar"),
+    }
+}
+
+/// Returns a request of the pipeline of which a late answer is wanted.
+pub fn plan() -> Ask {
+    Ask {
+        subject: Subject::Pipeline(Name::from("plan")),
+        ..chat()
+    }
+}
+
+fn host(index: usize, incarnation: u64) -> Host {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_000 + index as u16));
+    Host {
+        id: Id {
+            name: Name::from(format!("entry-{index}")),
+            incarnation,
+        },
+        data_centre: Name::from(format!("dc-{index}")),
+        region: Name::from(format!("region-{index}")),
+        http: address,
+        peer: address,
+        weight: 1,
+    }
+}
+
+fn member(host: &Host) -> Member {
+    Member {
+        host: host.clone(),
+        health: Health::Alive,
+        roster_seen: 0,
+        generation: 1,
+        serving_since: Some(Instant::ZERO),
+    }
+}
+
+fn view(hosts: &[Host], own: usize) -> View {
+    let others = hosts.iter().enumerate().filter(|(index, _)| *index != own);
+    View {
+        own: hosts[own].clone(),
+        serving: true,
+        serving_since: Some(Instant::ZERO),
+        leaving: false,
+        document: Arc::new(document()),
+        position: Position::default(),
+        fresh_at: Instant::ZERO,
+        drained: BTreeSet::new(),
+        roster: Roster::default(),
+        previous_roster: Roster::default(),
+        members: others.map(|(_, host)| member(host)).collect(),
+    }
+}
+
+fn document() -> Document {
+    let mut document = Document::default();
+    for name in ["encode", "generate", "orders"] {
+        let pool = Pool {
+            kind: Kind::Service,
+            cold_limit: 1,
+            full_limit: 10,
+            warm_up_ms: 1_000,
+            call_timeout_ms: CALL_TIMEOUT_MS,
+            price_milli: 0,
+            servers: BTreeMap::new(),
+        };
+        document.pools.insert(Name::from(name), Arc::new(pool));
+    }
+    for (name, late_answer_wanted) in [("chat", false), ("plan", true)] {
+        let stages = ["encode", "generate"].iter().map(|pool| Stage {
+            name: Name::from(*pool),
+            pool: Name::from(*pool),
+            model: None,
+        });
+        let pipeline = Pipeline {
+            stages: stages.collect(),
+            deadline_ms: DEADLINE_MS,
+            late_answer_wanted,
+            priority: 1,
+        };
+        let name = Name::from(name);
+        document.pipelines.insert(name, Arc::new(pipeline));
+    }
+    let service = Service {
+        pool: Name::from("orders"),
+        idempotent: false,
+        deadline_ms: DEADLINE_MS,
+    };
+    let name = Name::from("place-order");
+    document.services.insert(name, Arc::new(service));
+    document
+}
