--- a/src/core/document/mod.rs
+++ b/src/core/document/mod.rs
@@ -17,9 +17,19 @@
 
 use crate::names::Name;
 
+mod check;
 mod edit;
+mod json;
+mod problem;
 
+pub use check::check;
 pub use edit::diff;
+pub use problem::Problem;
+
+/// Returns the JSON schema of a document, for editors.
+pub fn schema() -> schemars::Schema {
+    schemars::schema_for!(Document)
+}
 
 /// What operators want of one environment.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
--- a/src/core/state/mod.rs
+++ b/src/core/state/mod.rs
@@ -27,6 +27,7 @@
 };
 
 mod apply;
+pub mod publish;
 mod verdicts;
 
 pub use verdicts::Verdicts;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -4,9 +4,12 @@
 mod driver;
 
 mod address;
+mod document;
+mod edits;
 mod membership;
 mod outcome;
 mod replica;
 mod roster;
 mod routing;
+mod state;
 mod time;
--- /dev/null
+++ b/tests/core/state.rs
@@ -0,0 +1,196 @@
+//! Tests of the one rule by which records become state.
+
+use teaselchute::core::{
+    document::{
+        self,
+        Document,
+        Edit,
+        Policies, //
+    },
+    host::Id,
+    orders::Claim,
+    state::{
+        Change,
+        Position,
+        Record,
+        State,
+        Target,
+        Verdict,
+        publish, //
+    },
+};
+
+use crate::edits::example;
+
+fn change(id: &str, based_on: u64) -> Record {
+    Record::Change(Change {
+        id: id.into(),
+        environment: "production".into(),
+        based_on,
+        edits: vec![Edit::Policies(Policies::default())],
+    })
+}
+
+fn at(next: u64) -> Position {
+    Position {
+        generation: 0,
+        next,
+    }
+}
+
+#[test]
+fn apply_first_on_its_base_wins() {
+    let mut state = State::default();
+    assert_eq!(
+        state.apply(at(1), &change("a", 0)),
+        Verdict::Accepted(at(1))
+    );
+    assert!(matches!(
+        state.apply(at(2), &change("b", 0)),
+        Verdict::Void(_)
+    ));
+    assert_eq!(
+        state.apply(at(3), &change("c", 1)),
+        Verdict::Accepted(at(3))
+    );
+}
+
+#[test]
+fn apply_again_first_verdict_stands() {
+    let mut state = State::default();
+    state.apply(at(1), &change("a", 0));
+    assert_eq!(
+        state.apply(at(2), &change("a", 0)),
+        Verdict::Accepted(at(1))
+    );
+    assert_eq!(state.revision(&"production".into()), 1);
+}
+
+#[test]
+fn apply_id_used_for_something_else() {
+    let mut state = State::default();
+    state.apply(at(1), &change("a", 0));
+    let other = Record::Drain {
+        id: "a".into(),
+        target: Target::DataCentre("north-a".into()),
+        out: true,
+    };
+    assert!(matches!(state.apply(at(2), &other), Verdict::Void(_)));
+    assert!(state.drained.is_empty());
+}
+
+#[test]
+fn apply_old_id_after_its_verdict_was_forgotten() {
+    let mut state = State::default();
+    for number in 0..3_000 {
+        let id = format!("change-{number}");
+        let verdict = state.apply(at(number + 1), &change(&id, number));
+        assert!(matches!(verdict, Verdict::Accepted(_)));
+    }
+    // Neither accepted, which is no longer known, nor refused, which would be false.
+    let again = state.apply(at(3_001), &change("change-0", 0));
+    assert_eq!(again, Verdict::Forgotten);
+    let late = state.apply(at(3_002), &change("late", 2_999));
+    assert!(matches!(late, Verdict::Void(_)));
+}
+
+#[test]
+fn apply_drain_and_back() {
+    let mut state = State::default();
+    let target = Target::DataCentre("north-a".into());
+    for (number, out) in [true, false, true].into_iter().enumerate() {
+        let record = Record::Drain {
+            id: format!("drain-{number}").into(),
+            target: target.clone(),
+            out,
+        };
+        state.apply(at(number as u64 + 1), &record);
+        assert_eq!(state.drained.contains_key(&target), out);
+    }
+}
+
+#[test]
+fn apply_roster_on_old_epoch() {
+    let mut state = State::default();
+    let member = Id {
+        name: "host-1".into(),
+        incarnation: 1,
+    };
+    let roster = |based_on, members| Record::Roster { based_on, members };
+    state.apply(at(1), &roster(0, vec![member]));
+    assert!(matches!(
+        state.apply(at(2), &roster(0, Vec::new())),
+        Verdict::Void(_)
+    ));
+    assert_eq!((state.roster.epoch, state.roster.members.len()), (1, 1));
+}
+
+#[test]
+fn apply_claim_replaces_only_what_it_names() {
+    let mut state = State::default();
+    let claim = |incarnation, replaces| {
+        Record::Claim(Claim {
+            group: "engines".into(),
+            controller: Id {
+                name: "host-1".into(),
+                incarnation,
+            },
+            replaces,
+        })
+    };
+    state.apply(at(1), &claim(1, None));
+    assert!(matches!(
+        state.apply(at(2), &claim(2, None)),
+        Verdict::Void(_)
+    ));
+    let fence = state.claims.holders["engines"].fence;
+    state.apply(at(3), &claim(3, Some(fence)));
+    let shorter = Position {
+        generation: 1,
+        next: 2,
+    };
+    let before = state.claims.holders["engines"].fence;
+    state.apply(shorter, &claim(4, Some(before)));
+    assert!(state.claims.holders["engines"].fence > before);
+}
+
+#[test]
+fn promotion_copies_the_tried_document() {
+    let mut state = State::default();
+    let tried = document::check(&example()).expect("the example is right");
+    let change = state
+        .publication("a".into(), "trial".into(), 0, &tried)
+        .expect("the trial environment is new");
+    state.apply(at(1), &Record::Change(change));
+    let promotion = |state: &State, tried| {
+        state.promotion("b".into(), &"trial".into(), tried, "production".into(), 0)
+    };
+    assert!(matches!(
+        promotion(&state, 0),
+        Err(publish::Error::Moved { is: 1, .. })
+    ));
+    let change = promotion(&state, 1).expect("revision 1 was tried");
+    state.apply(at(2), &Record::Change(change));
+    assert_eq!(*state.environments["production"].document, tried);
+}
+
+#[test]
+fn publication_sent_again() {
+    let mut state = State::default();
+    let publication = |state: &State, id: &str, based_on| {
+        let document = Document::default();
+        state.publication(id.into(), "production".into(), based_on, &document)
+    };
+    let change = publication(&state, "a", 0).expect("the environment is new");
+    state.apply(at(1), &Record::Change(change));
+    let known = publish::Error::Known(Verdict::Accepted(at(1)));
+    assert_eq!(publication(&state, "a", 0), Err(known));
+    assert!(matches!(
+        publication(&state, "b", 0),
+        Err(publish::Error::Stale { .. })
+    ));
+    assert!(matches!(
+        publication(&state, "c", 2),
+        Err(publish::Error::Behind { .. })
+    ));
+}
