Measure drains of data centres, servers and entry hosts

Cause: nobody saw what a drain costs callers. Callers of the driver now keep address answers for their time, and a leaving host lingers as the daemon does.

--- a/examples/driver/world/callers.rs
+++ b/examples/driver/world/callers.rs
@@ -4,10 +4,12 @@
 
 use teaselchute::{
     core::{
+        address,
         call::{
             Body,
             Request, //
         },
+        host::Host,
         node,
         outcome::{
             self, Ask, Subject,
@@ -41,6 +43,9 @@
 /// Time beyond the deadline after which a caller asks elsewhere, in milliseconds.
 const PATIENCE_MS: u64 = 1_500;
 
+/// Callers at each place, each of which keeps its own address answer.
+const CALLERS_PER_PLACE: u64 = 20;
+
 /// Something that a caller does or meets.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -97,6 +102,12 @@
     last_delivery: Instant,
 }
 
+/// An address answer that a caller keeps.
+struct Kept {
+    hosts: Vec<Process>,
+    until: Instant,
+}
+
 /// All callers.
 #[derive(Default)]
 pub struct Callers {
@@ -104,8 +115,11 @@
     pub asked: Vec<Asked>,
     /// Chance in a thousand that an exchange falls silent after it was opened.
     pub silent_permille: u64,
+    /// Answers that named a leaving host although it had left for longer than news may take.
+    pub named_leaving: u64,
     exchanges: BTreeMap<u64, Exchange>,
     next_exchange: u64,
+    kept: BTreeMap<(Process, u64), Kept>,
 }
 
 impl World {
@@ -216,22 +230,53 @@
         self.driver.put(delay_ms, host, event);
     }
 
+    /// Returns the first host of the answer that the caller keeps which is up: others refuse the
+    /// connection at once.
     fn choose_host(&mut self, from: Process, avoid: Option<Process>) -> Option<Process> {
-        let mut hosts = self.up();
-        hosts.retain(|host| !self.leaving.contains(host) && Some(*host) != avoid);
-        let region = self.driver.place(from).region;
-        let near: Vec<Process> = hosts
-            .iter()
-            .copied()
-            .filter(|host| self.driver.place(*host).region == region)
-            .collect();
-        let hosts = if near.is_empty() || avoid.is_some() {
-            hosts
-        } else {
-            near
+        let caller = (from, self.driver.draw(CALLERS_PER_PLACE));
+        let now = self.driver.now();
+        let kept = self.callers.kept.get(&caller);
+        if kept.is_none_or(|kept| kept.until <= now) {
+            let kept = self.look_up(from)?;
+            self.callers.kept.insert(caller, kept);
+        }
+        let hosts = self.callers.kept[&caller].hosts.clone();
+        let up = self.up();
+        let usable = |host: &Process| up.contains(host) && Some(*host) != avoid;
+        if let Some(host) = hosts.into_iter().find(usable) {
+            return Some(host);
+        }
+        self.callers.kept.remove(&caller);
+        let others: Vec<Process> = up.iter().copied().filter(usable).collect();
+        let index = self.driver.draw(others.len() as u64) as usize;
+        others.get(index).copied()
+    }
+
+    /// Asks any host that is up for addresses.
+    fn look_up(&mut self, from: Process) -> Option<Kept> {
+        let up = self.up();
+        let index = self.driver.draw(up.len() as u64) as usize;
+        let asked = up.get(index).copied()?;
+        let now = self.driver.now();
+        let seed = self.driver.draw(u64::MAX);
+        let place = address::Place {
+            region: Some(document::region_name(self.driver.place(from))),
+            data_centre: None,
         };
-        let index = self.driver.draw(hosts.len() as u64) as usize;
-        hosts.get(index).copied()
+        let view = self.nodes[asked].as_ref()?.view();
+        let answer = address::answer(&view, now, &place, seed);
+        let process = |host: &Host| self.hosts.iter().position(|it| it.id.name == host.id.name);
+        let hosts: Vec<Process> = answer.hosts.iter().filter_map(process).collect();
+        for host in &hosts {
+            let since = self.left_since.get(host);
+            if since.is_some_and(|since| now.since_ms(*since) > super::checks::DRAIN_MS) {
+                self.callers.named_leaving += 1;
+            }
+        }
+        Some(Kept {
+            hosts,
+            until: now.after_ms(answer.keep_ms),
+        })
     }
 
     fn hang_up(&mut self, exchange: u64) {
--- a/examples/driver/world/checks.rs
+++ b/examples/driver/world/checks.rs
@@ -23,7 +23,6 @@
             Verdict, //
         },
     },
-    names::Name,
     time::Instant,
 };
 
@@ -60,7 +59,7 @@
     executed: BTreeMap<Request, u32>,
     /// When evidence of a server's life reaches a host: host, server, life.
     evidence: BTreeMap<(Process, usize), (Start, Instant)>,
-    drained_since: BTreeMap<Name, Instant>,
+    drained_since: BTreeMap<Target, Instant>,
     last_position: BTreeMap<Process, Position>,
     was_serving: BTreeSet<Process>,
     accepted: Position,
@@ -160,30 +159,36 @@
         let Record::Drain { target, out, .. } = record else {
             return;
         };
-        let Target::DataCentre(name) = target else {
-            return;
-        };
         if *out {
             let now = self.driver.now();
-            self.checks.drained_since.entry(name.clone()).or_insert(now);
+            self.checks
+                .drained_since
+                .entry(target.clone())
+                .or_insert(now);
         } else {
-            self.checks.drained_since.remove(name);
+            self.checks.drained_since.remove(target);
         }
     }
 
     /// Checks a call as its host sends it.
     pub(super) fn check_send(&mut self, host: Process, server: usize, call: &Call) {
         self.checks.now = self.driver.now();
-        let place = self.place_of_server(server);
-        let name = document::data_centre_name(place);
-        let Some(since) = self.checks.drained_since.get(&name) else {
-            return;
-        };
-        let age_ms = self.driver.now().since_ms(*since);
-        if age_ms > DRAIN_MS {
-            let id = &call.request.id;
-            let text = format!("host {host} sent {id} to {name}, out for {age_ms} ms");
-            self.checks.broken("new_work_in_drained_dc", &text);
+        let name = document::data_centre_name(self.place_of_server(server));
+        let shape = &self.servers[server].shape;
+        let targets = [
+            Target::DataCentre(name),
+            Target::BackendServer(shape.pool.clone(), shape.name.clone()),
+        ];
+        for target in targets {
+            let Some(since) = self.checks.drained_since.get(&target) else {
+                continue;
+            };
+            let age_ms = self.driver.now().since_ms(*since);
+            if age_ms > DRAIN_MS {
+                let id = &call.request.id;
+                let text = format!("host {host} sent {id} to {target:?}, out for {age_ms} ms");
+                self.checks.broken("new_work_in_drained_dc", &text);
+            }
         }
     }
 
--- a/examples/driver/world/faults.rs
+++ b/examples/driver/world/faults.rs
@@ -2,6 +2,7 @@
 
 use teaselchute::{
     core::{
+        address,
         document::{
             Edit,
             Organisation, //
@@ -271,10 +272,11 @@
         self.driver.count("leave");
         self.note(&format!("host {host} leaves"));
         self.leaving.insert(host);
+        self.left_since.insert(host, self.driver.now());
         self.change_listed();
         self.step(host, node::Event::Leave);
         let deadline = self.driver.now().after_ms(LEAVE_MS);
-        self.schedule(1_000, Event::Left(host, deadline));
+        self.schedule(address::linger_ms(), Event::Left(host, deadline));
     }
 
     fn left(&mut self, host: Process, deadline: Instant) {
--- a/examples/driver/world/mod.rs
+++ b/examples/driver/world/mod.rs
@@ -144,6 +144,8 @@
     pub cost: Option<Cost>,
     /// Hosts that were told to leave and are not yet stopped.
     pub leaving: BTreeSet<Process>,
+    /// Since when hosts that are leaving do so.
+    pub left_since: BTreeMap<Process, Instant>,
     /// Kinds of faults that strike before any strikes again.
     deck: Vec<faults::Kind>,
     /// Fingerprint of the run: of each event's time and process.
@@ -194,6 +196,7 @@
             trace: Vec::new(),
             cost: None,
             leaving: BTreeSet::new(),
+            left_since: BTreeMap::new(),
             deck: Vec::new(),
             fingerprint: plan.seed,
             listed: Vec::new(),
@@ -364,6 +367,7 @@
         let node = Node::new(own, Name::from(ENVIRONMENT), self.plan.policies, seed);
         self.nodes[process] = Some(node);
         self.leaving.remove(&process);
+        self.left_since.remove(&process);
         self.checks.host_started(process);
         self.change_listed();
         let offset_ms = self.driver.draw(node::TICK_MS);
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,6 +4,7 @@
 mod driver;
 
 mod cold;
+mod drain;
 mod fleet;
 mod ledgers;
 mod membership;
@@ -21,6 +22,7 @@
 /// All cases by name. Each stands in a module of its own.
 const CASES: &[(&str, Case)] = &[
     ("cold", cold::run),
+    ("drain", drain::measure),
     ("membership", membership::measure),
     ("outcome", outcome::measure),
     ("overload", overload::run),
--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -693,6 +693,9 @@
                 self.rumours.put(news);
             }
         }
+        if self.policy == Policy::HostListAlone {
+            self.table.trust_all(now);
+        }
         self.revision += 1;
         self.note_progress();
     }
--- a/src/core/membership/table.rs
+++ b/src/core/membership/table.rs
@@ -373,6 +373,15 @@
         Some(news)
     }
 
+    /// Believes that all listed hosts serve and shrank, which a host list alone can't tell.
+    pub(super) fn trust_all(&mut self, now: Instant) {
+        for entry in self.entries.values_mut() {
+            entry.serving_since.get_or_insert(now);
+            entry.roster_seen = u64::MAX;
+        }
+        self.rebuild();
+    }
+
     fn rebuild(&mut self) {
         self.members = self.entries.values().map(Entry::member).collect();
     }
