--- a/examples/measure/fleet/hosts.rs
+++ b/examples/measure/fleet/hosts.rs
@@ -158,6 +158,8 @@
         }
         let (policy, seed) = (self.setting.policy, self.seed);
         let host = &mut self.hosts[process - 1];
+        // News of the state are not what is measured here.
+        host.view.fresh_at = now;
         let pool = host.pools[number].get_or_insert_with(|| {
             let name = Name::from(SHAPES[number].name);
             Pool::new(
