Bring cold servers back to full, and forget old failures

Each ruled in turn by the slots printed every 2 s: the limit rose by a quarter a step only; an idle cold server scored as busy; one slow first call kept calls away for ever; so did the failures of the outage, which faded only by calls.

--- a/src/core/routing/choice.rs
+++ b/src/core/routing/choice.rs
@@ -64,9 +64,10 @@
     } else {
         typical_us / CACHE_DIVISOR
     };
-    // A server that has been slower than its pool costs the difference.
+    // A server that has been slower than its pool costs a part of the difference, so that chance
+    // alone doesn't keep calls away from it.
     let slower = server.typical_ms.saturating_sub(context.typical_ms) * 1_000;
-    queueing + distance + failure + recompute + slower.min(8 * typical_us)
+    queueing + distance + failure + recompute + (slower / 2).min(2 * typical_us)
 }
 
 /// Returns the typical time of a call, or a guess where there was none yet.
@@ -77,7 +78,8 @@
 fn queueing_us(context: &Context, server: &Server, typical_us: u64) -> u64 {
     let limit = u64::from(server.limit.slots(&context.bounds).max(1));
     let calls = u64::from(server.estimated(context.now)) + 1;
-    let crowding = typical_us * calls / limit / 4;
+    // An idle server costs nothing, also a cold one: it warms up only by calls.
+    let crowding = typical_us * (calls - 1) / limit / 4;
     let waiting = calls.saturating_sub(limit);
     crowding + typical_us * waiting / limit
 }
--- a/src/core/routing/limit.rs
+++ b/src/core/routing/limit.rs
@@ -11,8 +11,8 @@
 /// Number of earlier lives that are remembered, so that their late words are known as such.
 const PAST_LIVES: usize = 8;
 
-/// Least part of the limit by which one step raises it.
-const RAISE_DIVISOR: u32 = 4;
+/// Factor by which one step raises the limit at most.
+const RAISE_FACTOR: u32 = 2;
 
 /// What the configuration says of a pool's servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,8 +127,7 @@
             return false;
         }
         let envelope = envelope(now.since_ms(first_reply), bounds);
-        let raised = slots + (slots / RAISE_DIVISOR).max(1);
-        let raised = raised.min(envelope);
+        let raised = (slots * RAISE_FACTOR).max(1).min(envelope);
         if raised <= slots {
             return false;
         }
--- a/src/core/routing/pool.rs
+++ b/src/core/routing/pool.rs
@@ -778,10 +778,11 @@
         let server = &mut self.servers[index];
         server.answers();
         server.note_failure(false);
-        server.typical_ms = match server.typical_ms {
-            0 => ms,
-            known => known - known / 8 + ms / 8,
+        let known_ms = match server.typical_ms {
+            0 => choice::typical_or_guess(typical_ms),
+            known => known,
         };
+        server.typical_ms = known_ms - known_ms / 8 + ms / 8;
         server.limit.reply(now, start, sent.at, good, &self.bounds);
         self.all_times.add(now, ms);
         stage_times(&mut self.times, &sent.pipeline, sent.stage).add(now, ms);
@@ -830,7 +831,7 @@
         }
     }
 
-    /// Asks other hosts about servers on which this host has no slot to find out itself.
+    /// Asks other hosts about servers of which this host doesn't know that they are warm.
     fn ask(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
         if self.policy != Policy::Teaselchute {
             return;
@@ -839,10 +840,11 @@
         for _ in 0..self.servers.len() {
             self.ask_next = (self.ask_next + 1) % self.servers.len();
             let server = &mut self.servers[self.ask_next];
-            let blind = server.listed
-                && server.allowed(&self.bounds) == 0
+            // Hosts with a single slot ask too, as others learn faster together.
+            let wants = server.listed
+                && !server.limit.is_full(&self.bounds)
                 && server.share(self.bounds.full) > 0;
-            if !blind || !server.question.is_due(now) {
+            if !wants || !server.question.is_due(now) {
                 continue;
             }
             let draw = self.rng.random_range(0..1 << 16);
--- a/src/core/routing/server.rs
+++ b/src/core/routing/server.rs
@@ -38,6 +38,9 @@
 /// Part of the failure rate that one call replaces, as a shift.
 const FAILURE_SHIFT: u32 = 4;
 
+/// Part of the failure rate that fades with each tick, as a divisor.
+const FAILURE_FADE: u32 = 64;
+
 /// Where a server stands as seen from this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -235,6 +238,8 @@
             self.lent = 0;
         }
         self.lingering.retain(|call| call.until > now);
+        // Without calls the failures of an hour ago would keep all calls away for ever.
+        self.failure -= self.failure.div_ceil(FAILURE_FADE);
     }
 
     /// Forgets what was known of the life before.
@@ -242,6 +247,8 @@
         self.load = None;
         self.lent = 0;
         self.typical_ms = 0;
+        self.failure = 0;
+        self.answers();
         let start = self.limit.start();
         self.lingering
             .retain(|call| call.start.is_none() || call.start == start);
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -360,6 +360,25 @@
     assert!(offer(&mut pool, &view, at(20), 10..20).is_empty());
 }
 
+#[test]
+fn offer_server_that_failed_long_ago() {
+    // Servers of a zone that was out are cold and idle, but not shunned for ever.
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let mut now = at(0);
+    for number in 0..50 {
+        for call in offer(&mut pool, &view, now, number..number + 1) {
+            end(&mut pool, &view, now, &call, 1, End::Failed);
+        }
+    }
+    assert!(pool.servers().all(|server| server.failure > 900));
+    for _ in 0..200 {
+        now = now.after_ms(50);
+        pool.step(now, &view, Event::Tick);
+    }
+    assert!(pool.servers().all(|server| server.failure < 100));
+}
+
 #[test]
 fn cancel_sent_call() {
     let mut pool = pool();
