--- a/examples/driver/replicas.rs
+++ b/examples/driver/replicas.rs
@@ -54,6 +54,12 @@
 /// Time after which a host gives up on an answer of the log, in milliseconds.
 const LOG_TIMEOUT_MS: u64 = 2_000;
 
+/// Time after which others suspect a host that stopped, in milliseconds.
+const SUSPECT_MS: u64 = 1_500;
+
+/// Time after which others know that a host that stopped is gone, in milliseconds.
+const GONE_MS: u64 = 10_000;
+
 /// Regions in which the hosts stand.
 const REGIONS: usize = 3;
 
@@ -70,8 +76,8 @@
     Answer(Box<log::Event>),
     /// A host gives up on the log.
     TimedOut(Ticket),
-    /// Something that the run itself wants at its time.
-    Own(u64),
+    /// The run stops here for a while.
+    Stop,
 }
 
 /// One accepted record, as the log's order makes it.
@@ -116,6 +122,10 @@
     pub accepted: BTreeMap<Name, Accepted>,
     /// Whether the run writes down what happens.
     pub trace: bool,
+    /// Truths by the count of records that make them, for a log that loses records.
+    truths: BTreeMap<Offset, State>,
+    /// Hosts that stopped, with the time.
+    stopped: Vec<(Host, Instant)>,
     waiting: BTreeSet<(Process, u64, Ticket)>,
     policy: Policy,
     seed: u64,
@@ -137,6 +147,8 @@
             truth_position: Position::default(),
             accepted: BTreeMap::new(),
             trace: false,
+            truths: BTreeMap::new(),
+            stopped: Vec::new(),
             waiting: BTreeSet::new(),
             policy,
             seed,
@@ -174,6 +186,33 @@
     pub fn crash(&mut self, process: Process) {
         self.driver.crash(process);
         self.nodes[process] = None;
+        let stopped = (self.hosts[process].clone(), self.driver.now());
+        self.stopped.push(stopped);
+    }
+
+    /// Makes the log lose its newest records, and returns ids that no host has ever seen accepted.
+    pub fn lose(&mut self, count: usize) -> Vec<Name> {
+        self.driver.count("log_shorter");
+        self.log.lose(count);
+        let end = self.log.end();
+        let position = Position {
+            next: end,
+            ..self.truth_position
+        };
+        self.truth_position = position;
+        self.truth = self.truths.get(&end).cloned().unwrap_or_default();
+        let nodes = &self.nodes;
+        let is_held = |id: &Name| {
+            let mut states = nodes.iter().flatten().map(Replica::state);
+            states.any(|state| state.verdicts.get(id).is_some())
+        };
+        let lost = self.accepted.iter();
+        let lost = lost.filter(|(id, accepted)| accepted.position > position && !is_held(id));
+        let unseen: Vec<Name> = lost.map(|(id, _)| id.clone()).collect();
+        for id in &unseen {
+            self.accepted.remove(id);
+        }
+        unseen
     }
 
     /// Returns the hosts that are up.
@@ -201,8 +240,11 @@
         asker
     }
 
-    /// Runs until an event of the run itself is due, which is returned, or until the end.
-    pub fn run(&mut self, end: Instant) -> Option<(Process, u64)> {
+    /// Runs for some time.
+    pub fn run_ms(&mut self, ms: u64) {
+        let end = self.driver.now().after_ms(ms);
+        let platform = self.platform;
+        self.driver.put(ms, platform, Event::Stop);
         while let Some((process, event)) = self.driver.next(end) {
             match event {
                 Event::Tick => self.tick(process),
@@ -210,18 +252,9 @@
                 Event::Ask(host, action) => self.log_asked(host, *action),
                 Event::Answer(event) => self.step(process, replica::Event::Log(*event)),
                 Event::TimedOut(ticket) => self.timed_out(process, ticket),
-                Event::Own(event) => return Some((process, event)),
+                Event::Stop => return,
             }
         }
-        None
-    }
-
-    /// Runs for some time, ignoring events of the run itself.
-    pub fn run_ms(&mut self, ms: u64) {
-        let end = self.driver.now().after_ms(ms);
-        let platform = self.platform;
-        self.driver.put(ms, platform, Event::Own(0));
-        while self.driver.now() < end && self.run(end).is_some() {}
     }
 
     fn tick(&mut self, process: Process) {
@@ -231,17 +264,21 @@
         self.step(process, replica::Event::Tick);
     }
 
+    /// Returns the members as one host sees them: a host that stopped is suspected after a while
+    /// and gone after longer.
     fn members(&self, own: Process) -> Vec<Member> {
+        let now = self.driver.now();
         let others = self.up().into_iter().filter(|process| *process != own);
         let mut members: Vec<Member> = others
-            .map(|process| Member {
-                host: self.hosts[process].clone(),
-                health: Health::Alive,
-                roster_seen: 0,
-                generation: 0,
-                serving_since: Some(Instant::ZERO),
-            })
+            .map(|process| member(&self.hosts[process], Health::Alive))
             .collect();
+        for (host, at) in &self.stopped {
+            match now.since_ms(*at) {
+                ..SUSPECT_MS => members.push(member(host, Health::Alive)),
+                SUSPECT_MS..GONE_MS => members.push(member(host, Health::Suspect)),
+                _ => (),
+            }
+        }
         members.sort_by(|a, b| a.host.id.cmp(&b.host.id));
         members
     }
@@ -354,6 +391,7 @@
             };
             return offset;
         }
+        self.truths.insert(offset, self.truth.clone());
         self.truth_position.next = offset + 1;
         let known = record.id().is_some_and(|id| self.accepted.contains_key(id));
         let verdict = self.truth.apply(self.truth_position, &record);
@@ -401,6 +439,16 @@
     }
 }
 
+fn member(host: &Host, health: Health) -> Member {
+    Member {
+        host: host.clone(),
+        health,
+        roster_seen: 0,
+        generation: 0,
+        serving_since: Some(Instant::ZERO),
+    }
+}
+
 fn ticket_of(event: &log::Event) -> Ticket {
     match event {
         log::Event::Appended { ticket, .. }
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,6 +4,7 @@
 mod driver;
 
 mod cold;
+mod config;
 mod drain;
 mod fleet;
 mod ledgers;
@@ -22,6 +23,7 @@
 /// All cases by name. Each stands in a module of its own.
 const CASES: &[(&str, Case)] = &[
     ("cold", cold::run),
+    ("config", config::run),
     ("drain", drain::measure),
     ("membership", membership::measure),
     ("outcome", outcome::measure),
