Append only to a log that was seen to be the right one a moment ago

Cause: in 19 seeds with a log that came back shorter, 8 runs ended with accepted changes missing: hosts replaced by word of peers appended to such a log before they had read it, and a read that was overtaken by news of a peer looked like a shorter log.

--- a/examples/measure/config.rs
+++ b/examples/measure/config.rs
@@ -50,6 +50,9 @@
 /// Time between two looks at all hosts, in milliseconds.
 const LOOK_MS: u64 = 50;
 
+/// Time between two looks at records that are in force everywhere, in milliseconds.
+const SETTLED_LOOK_MS: u64 = 1_000;
+
 /// Mean time between two faults, in milliseconds.
 const FAULT_EVERY_MS: u64 = 3_000;
 
@@ -393,12 +396,27 @@
                 self.start_ms.push(self.now().since_ms(since));
             }
         }
+        // Records that are in force everywhere are looked at less often, for whether they revert.
+        let all = self.now().as_ms().is_multiple_of(SETTLED_LOOK_MS);
+        let lives: Vec<(Process, u64)> = self.lives();
         let ids: Vec<Name> = self.replicas.accepted.keys().cloned().collect();
         for id in ids {
-            self.look_for(&id);
+            let has = |(process, life): &(Process, u64)| {
+                self.in_force.get(&(*process, id.clone())) == Some(life)
+            };
+            if all || !lives.iter().all(has) {
+                self.look_for(&id);
+            }
         }
     }
 
+    fn lives(&self) -> Vec<(Process, u64)> {
+        let mut up = self.replicas.up();
+        up.retain(|process| self.replicas.node(*process).is_current());
+        let life = |process| (process, self.replicas.driver.life(process));
+        up.into_iter().map(life).collect()
+    }
+
     /// A host that is current never shows an older position than before in its life.
     fn look_for_going_back(&mut self, process: Process) {
         let node = self.replicas.node(process);
@@ -423,7 +441,8 @@
                 continue;
             }
             if holders.contains(&process) {
-                if self.in_force.insert(key.clone(), life).is_none() {
+                let before = self.in_force.insert(key.clone(), life);
+                if before != Some(life) {
                     self.note_in_force(process, id);
                 }
                 continue;
@@ -513,6 +532,14 @@
 
     /// Counts pairs of hosts and accepted records that aren't in force there at the end.
     fn not_in_force(&self) -> usize {
+        if self.replicas.trace {
+            for (id, accepted) in &self.replicas.accepted {
+                let holders = self.holders(id);
+                if holders.len() < self.replicas.hosts.len() {
+                    println!("{id} of {accepted:?} is in force at {holders:?} only");
+                }
+            }
+        }
         let hosts = self.replicas.hosts.len();
         let current = |process: &Process| self.replicas.node(*process).is_current();
         let missing = |id: &Name| {
--- a/src/core/replica/loss.rs
+++ b/src/core/replica/loss.rs
@@ -47,6 +47,7 @@
 struct Confirmed {
     since: Instant,
     end: Offset,
+    split: bool,
     asked_at: Option<Instant>,
     anchored_at: Option<Instant>,
     answers: BTreeMap<Id, Position>,
@@ -69,14 +70,20 @@
 
 impl Replica {
     /// Takes note that the log, searched to its end, lacks what this host has applied.
-    pub(super) fn loss_confirmed(&mut self, now: Instant, end: Offset) {
+    ///
+    /// A split means that it holds other records in their place.
+    pub(super) fn loss_confirmed(&mut self, now: Instant, end: Offset, split: bool) {
         match &mut self.loss.confirmed {
-            Some(confirmed) => confirmed.end = end,
+            Some(confirmed) => {
+                confirmed.end = end;
+                confirmed.split = split;
+            }
             None => {
                 self.decide(now, "log_lost", "ask_members", &[("end", end)]);
                 self.loss.confirmed = Some(Confirmed {
                     since: now,
                     end,
+                    split,
                     asked_at: None,
                     anchored_at: None,
                     answers: BTreeMap::new(),
@@ -123,6 +130,11 @@
         self.anchor(now, at, out);
     }
 
+    fn is_split_confirmed(&self) -> bool {
+        let confirmed = &self.loss.confirmed;
+        confirmed.as_ref().is_some_and(|confirmed| confirmed.split)
+    }
+
     fn ask_loss(&mut self, now: Instant, members: Vec<Id>, out: &mut Vec<Action>) {
         for to in members {
             let asks = self.spread.ask(now, &to);
@@ -148,10 +160,12 @@
     /// Answers a host that saw a loss. Reads on their way may hold what the log lost, so they are
     /// dropped: the position in the answer can rise by what other hosts hold only.
     pub(super) fn on_loss(&mut self, now: Instant, from: Id, asks: u64, out: &mut Vec<Action>) {
+        let follows = self.reading.is_verified(now);
         self.reading.drop_outstanding(now);
         let message = Message::LossSeen {
             answers: asks,
             position: self.position,
+            follows,
         };
         out.push(Action::Send { to: from, message });
     }
@@ -160,11 +174,13 @@
         &mut self,
         now: Instant,
         from: Id,
-        answers: u64,
         position: Position,
+        follows: bool,
         out: &mut Vec<Action>,
     ) {
-        if self.spread.take(answers, &from).is_none() {
+        if follows && self.is_split_confirmed() {
+            // The sender went on without what this host holds, so this host has to give way.
+            self.start_over(now, "log_split", position.next);
             return;
         }
         if position > self.position {
@@ -221,7 +237,7 @@
 
     /// Appends the next lost record anew, on the base that stands now.
     pub(super) fn bring_back(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if !self.reading.is_following() || !self.caught_up {
+        if !self.reading.is_verified(now) || !self.caught_up {
             return;
         }
         while let Some(record) = self.loss.lost.first_mut() {
--- a/src/core/replica/message.rs
+++ b/src/core/replica/message.rs
@@ -101,5 +101,7 @@
         answers: u64,
         /// Position of the sender's state.
         position: Position,
+        /// Whether the sender holds what the log holds, as far as it knows.
+        follows: bool,
     },
 }
--- a/src/core/replica/mod.rs
+++ b/src/core/replica/mod.rs
@@ -250,8 +250,14 @@
             }
             Message::Snapshot(snapshot) => self.on_snapshot(now, &snapshot),
             Message::Loss { asks } => self.on_loss(now, from, asks, out),
-            Message::LossSeen { answers, position } => {
-                self.on_loss_seen(now, from, answers, position, out);
+            Message::LossSeen {
+                answers,
+                position,
+                follows,
+            } => {
+                if self.spread.take(answers, &from).is_some() {
+                    self.on_loss_seen(now, from, position, follows, out);
+                }
             }
         }
     }
--- a/src/core/replica/proposals.rs
+++ b/src/core/replica/proposals.rs
@@ -44,6 +44,8 @@
     record: Record,
     since: Instant,
     again_at: Instant,
+    /// Whether it was appended at least once, so that it may land.
+    appended: bool,
     /// When the verdict became known to this host.
     known_at: Option<Instant>,
 }
@@ -63,7 +65,7 @@
         record: Record,
         out: &mut Vec<Action>,
     ) {
-        if let Some(reason) = self.why_not_append() {
+        if let Some(reason) = self.why_not_append(now) {
             // Without a word of earlier attempts under this id, which may still land.
             if let Some(asker) = asker {
                 let answer = Answer::Unavailable(reason.into());
@@ -80,18 +82,22 @@
             record,
             since: now,
             again_at: now,
+            appended: false,
             known_at: None,
         });
         self.settle(now, out);
     }
 
-    fn why_not_append(&self) -> Option<&'static str> {
+    fn why_not_append(&self, now: Instant) -> Option<&'static str> {
         if !self.current {
             return Some("this host does not know the state yet: ask another host");
         }
         if !self.reading.is_following() {
             return Some("the log has lost records and is being anchored anew: ask again");
         }
+        if !self.reading.is_verified(now) {
+            return Some("this host does not reach the log: ask another host, or again later");
+        }
         if self.proposals.pending.len() >= LIMIT {
             return Some("too many proposals wait on this host: ask again");
         }
@@ -125,11 +131,16 @@
             return true;
         }
         if now.since_ms(proposal.since) >= ANSWER_LIMIT_MS {
-            self.answer(now, proposal, Answer::Unknown, out);
+            let answer = match proposal.appended {
+                true => Answer::Unknown,
+                false => Answer::Unavailable("this host could not append it".into()),
+            };
+            self.answer(now, proposal, answer, out);
             return true;
         }
-        let may_append = self.current && self.reading.is_following();
+        let may_append = self.current && self.reading.is_verified(now);
         if may_append && proposal.known_at.is_none() && now >= proposal.again_at {
+            proposal.appended = true;
             proposal.again_at = now.after_ms(APPEND_AGAIN_MS);
             self.append(proposal.record.clone(), out);
         }
--- a/src/core/replica/reading.rs
+++ b/src/core/replica/reading.rs
@@ -41,6 +41,9 @@
 /// Longest time between two reads, however many hosts read, in milliseconds.
 const POLL_LIMIT_MS: u64 = 2_000;
 
+/// Time for which a log that was seen to be the right one is appended to, in milliseconds.
+const VERIFIED_LIMIT_MS: u64 = 4_000;
+
 /// Time after which a read counts as failed, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 2_000;
 
@@ -51,6 +54,8 @@
 struct Outstanding {
     ticket: Ticket,
     sent_at: Instant,
+    /// Records that were applied when the read was sent. Others may have brought more since.
+    applied: Position,
 }
 
 /// Why and how far the log has been searched.
@@ -89,6 +94,8 @@
     next_at: Instant,
     /// Since when all reads failed.
     pub(super) failed_since: Option<Instant>,
+    /// When the log was last seen to hold what is applied, unless a read failed since.
+    verified_at: Option<Instant>,
 }
 
 impl Reading {
@@ -99,6 +106,7 @@
             outstanding: None,
             next_at: Instant::ZERO,
             failed_since: None,
+            verified_at: None,
         }
     }
 
@@ -122,10 +130,18 @@
     /// Goes on after a state that was taken over as a whole.
     pub(super) fn follow_from_here(&mut self, now: Instant) {
         self.mode = Mode::Follow;
+        self.verified_at = None;
         self.drop_outstanding(now);
     }
 
-    /// Returns whether the log is read record by record, so that it may be appended to.
+    /// Returns whether the log may be appended to: it was seen a moment ago to be the one whose
+    /// records are applied.
+    pub(super) fn is_verified(&self, now: Instant) -> bool {
+        let verified_at = self.verified_at;
+        self.is_following() && verified_at.is_some_and(|at| now.since_ms(at) <= VERIFIED_LIMIT_MS)
+    }
+
+    /// Returns whether the log is read record by record.
     pub(super) fn is_following(&self) -> bool {
         matches!(self.mode, Mode::Follow)
     }
@@ -152,6 +168,7 @@
         self.reading.outstanding = Some(Outstanding {
             ticket,
             sent_at: now,
+            applied: self.position,
         });
         out.push(Action::Log(log::Action::Read { ticket, from }));
     }
@@ -159,6 +176,7 @@
     /// Takes note of a read that failed or timed out.
     pub(super) fn on_read_failed(&mut self, now: Instant, ticket: Ticket) {
         if self.take_outstanding(ticket).is_some() {
+            self.reading.verified_at = None;
             self.reading.failed_since.get_or_insert(now);
             self.read_again_in(now, POLL_MS);
         }
@@ -173,22 +191,20 @@
         end: Offset,
         entries: Vec<Entry>,
     ) {
-        let Some(sent_at) = self.take_outstanding(ticket) else {
+        let Some(outstanding) = self.take_outstanding(ticket) else {
             return;
         };
         self.reading.failed_since = None;
         match &self.reading.mode {
-            Mode::Follow => self.follow(now, sent_at, first, end, entries),
+            Mode::Follow => self.follow(now, &outstanding, first, end, entries),
             Mode::Search(_) => self.search(now, first, end, entries),
         }
     }
 
-    fn take_outstanding(&mut self, ticket: Ticket) -> Option<Instant> {
-        let outstanding = self
-            .reading
+    fn take_outstanding(&mut self, ticket: Ticket) -> Option<Outstanding> {
+        self.reading
             .outstanding
-            .take_if(|outstanding| outstanding.ticket == ticket)?;
-        Some(outstanding.sent_at)
+            .take_if(|outstanding| outstanding.ticket == ticket)
     }
 
     fn read_again_in(&mut self, now: Instant, ms: u64) {
@@ -204,12 +220,12 @@
     fn follow(
         &mut self,
         now: Instant,
-        sent_at: Instant,
+        outstanding: &Outstanding,
         first: Offset,
         end: Offset,
         entries: Vec<Entry>,
     ) {
-        if end < self.position.next {
+        if end < outstanding.applied.next {
             self.begin_search(now, "log_shorter", end);
             return;
         }
@@ -224,8 +240,9 @@
             }
         }
         self.retention.note_first_kept(first);
+        self.reading.verified_at = Some(now);
         if self.position.next >= end {
-            self.know_all(now, sent_at);
+            self.know_all(now, outstanding.sent_at);
             let poll_ms = self.poll_ms();
             self.read_again_in(now, poll_ms);
         } else if self.position > before {
@@ -272,6 +289,7 @@
         let next = self.position.next;
         self.decide(now, rule, "search", &[("applied", next), ("seen", seen)]);
         self.reading.mode = Mode::Search(Search::from(0));
+        self.reading.verified_at = None;
         self.reading.drop_outstanding(now);
     }
 
@@ -350,10 +368,16 @@
         let Mode::Search(search) = &self.reading.mode else {
             return false;
         };
-        self.tail.iter().any(|item| {
-            let held = search.digests.get(&item.offset);
-            held.is_some_and(|digest| *digest != item.digest)
-        })
+        let differs = |offset: Offset, digest: u64| {
+            let held = search.digests.get(&offset);
+            held.is_some_and(|held| *held != digest)
+        };
+        let newest = self.position.next.checked_sub(1);
+        newest.is_some_and(|newest| differs(newest, self.last))
+            || self
+                .tail
+                .iter()
+                .any(|item| differs(item.offset, item.digest))
     }
 
     /// Decides what to do after the whole log was searched in vain.
@@ -366,18 +390,14 @@
             self.reading.hurry(now);
             return;
         }
-        if split {
-            self.start_over(now, "log_split", end);
-            return;
-        }
-        if !is_empty && first <= next && next <= end {
+        if !is_empty && !split && first <= next && next <= end {
             // The log holds all that is applied: an answer that lagged led to the search.
             self.reading.mode = Mode::Follow;
             self.read_again_in(now, SEARCH_MS);
             return;
         }
         if !is_empty {
-            self.loss_confirmed(now, end);
+            self.loss_confirmed(now, end, split);
         }
         self.reading.mode = Mode::Search(Search::from(first));
         self.read_again_in(now, SEARCH_MS);
--- a/src/core/replica/retention.rs
+++ b/src/core/replica/retention.rs
@@ -77,7 +77,7 @@
 impl Replica {
     /// Publishes a snapshot where one is due and this host's turn has come.
     pub(super) fn republish(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let may = self.current && self.reading.is_following();
+        let may = self.current && self.reading.is_verified(now);
         if !may || !self.retention.is_due(now, self.position.next) {
             self.retention.due_since = None;
             return;
