--- a/examples/measure/config.rs
+++ b/examples/measure/config.rs
@@ -62,6 +62,9 @@
 /// Time between two replacements, in milliseconds, over all hosts.
 const REPLACE_ALL_MS: u64 = 60_000;
 
+/// Time after which a trace tells of a change that isn't in force yet, in milliseconds.
+const SLOW_MS: u64 = 2_000;
+
 /// Chance in a thousand that the log comes back shorter from an outage.
 const SHORTER_PERMILLE: u64 = 200;
 
@@ -313,6 +316,8 @@
         if self.replicas.nodes[process].is_none() {
             self.replicas.start(process);
             self.started.insert(process, self.now());
+            // What its life before lacked doesn't count against this one.
+            self.able_since.retain(|(host, _), _| *host != process);
         }
     }
 
@@ -502,6 +507,9 @@
         let able_since = self.able_since.remove(&(process, id.clone()));
         let waited_ms = now.since_ms(able_since.unwrap_or(now));
         let took_ms = now.since_ms(accepted_at);
+        if self.replicas.trace && took_ms > SLOW_MS {
+            println!("{id} took {took_ms} ms to host {process}, able for {waited_ms} ms");
+        }
         // What was looked at within one step after it was accepted had nothing to wait for.
         if took_ms <= waited_ms + 2 * LOOK_MS {
             self.in_force_ms.push(took_ms);
