Copy a home's refusals to a keeper, so that its word outlives it

Keepers now keep refusals as they keep answers. Callers of the measure now take a new id where no connection could be opened.

--- a/examples/measure/ledgers/callers.rs
+++ b/examples/measure/ledgers/callers.rs
@@ -72,6 +72,8 @@
     TimedOut(u64),
     /// An exchange's connection was reset.
     Reset(u64),
+    /// No connection could be opened for an exchange.
+    Unreachable(u64),
     /// A host gave something.
     Given(Box<Action>),
     /// A caller asks again.
@@ -111,6 +113,8 @@
     /// Whether an answer lacked something.
     pub truncated: bool,
     caller: usize,
+    /// Whether the newest id was sent to any host.
+    sent: bool,
     subject: &'static str,
     ticket: Option<Ticket>,
     asks: u32,
@@ -181,6 +185,11 @@
                     self.again(open.matter, PAUSE_MS);
                 }
             }
+            Event::Unreachable(exchange) => {
+                if let Some(open) = self.callers.exchanges.remove(&exchange) {
+                    self.unreachable(open.matter);
+                }
+            }
             Event::Given(action) => self.given(*action),
             Event::Again(matter) => self.ask_again(matter),
             Event::Fetch(matter) => self.fetch(matter),
@@ -215,6 +224,7 @@
             crossed: false,
             truncated: false,
             caller,
+            sent: false,
             subject,
             ticket: None,
             asks: 0,
@@ -237,6 +247,7 @@
                 return self.again(number, PAUSE_MS);
             };
             let own = format!("matter-{number}-{}", matter.renewals);
+            matter.sent = false;
             matter.request.id = ticket.request_id(&own);
             matter.ticket = address.ticket.clone();
         }
@@ -261,6 +272,18 @@
         }
     }
 
+    /// Asks elsewhere. An id that was never sent needs no word: a new one, with a new ticket, is
+    /// as good.
+    fn unreachable(&mut self, number: usize) {
+        let matter = &mut self.callers.matters[number];
+        self.callers.addresses[matter.caller] = None;
+        if matter.order && !matter.sent {
+            matter.ids.pop();
+            return self.ask_new(number);
+        }
+        self.again(number, PAUSE_MS);
+    }
+
     fn again(&mut self, number: usize, delay_ms: u64) {
         let process = self.first_caller + self.callers.matters[number].caller;
         let event = Happening::Caller(Event::Again(number));
@@ -382,10 +405,11 @@
         let timed_out = Happening::Caller(Event::TimedOut(exchange));
         self.driver.put(patience_ms, process, timed_out);
         if self.hosts[host].ledger.is_none() {
-            let refused = Happening::Caller(Event::Reset(exchange));
+            let refused = Happening::Caller(Event::Unreachable(exchange));
             let delay_ms = self.driver.delay_ms(process, host);
             return self.driver.put(delay_ms, process, refused);
         }
+        self.callers.matters[number].sent = true;
         self.deliver(process, host, told(exchange));
     }
 
--- a/src/core/outcome/answers.rs
+++ b/src/core/outcome/answers.rs
@@ -26,7 +26,8 @@
             Body,
             Request, //
         },
-        host, //
+        host,
+        refusal::Refusal, //
     },
     names::Name,
     time::Instant,
@@ -98,6 +99,8 @@
     },
     /// The whole answer.
     Whole(Answer),
+    /// The word with which a non-idempotent request was refused.
+    Refused(Refusal),
 }
 
 impl Content {
@@ -106,6 +109,7 @@
         match self {
             Self::Stage { body, .. } => body.len(),
             Self::Whole(answer) => answer.bytes(),
+            Self::Refused(refusal) => refusal.detail.len(),
         }
     }
 
@@ -113,7 +117,7 @@
     fn rank(&self) -> usize {
         match self {
             Self::Stage { index, .. } => *index,
-            Self::Whole(_) => usize::MAX,
+            Self::Whole(_) | Self::Refused(_) => usize::MAX,
         }
     }
 }
@@ -294,8 +298,8 @@
 
     fn count_dropped(&mut self, request: &Request, content: &Content) {
         self.dropped_total += 1;
-        // A dropped stage result doesn't mean that the request has an answer.
-        if matches!(content, Content::Stage { .. }) {
+        // Only a dropped answer means that the request had one.
+        if !matches!(content, Content::Whole(_)) {
             return;
         }
         let key = key(request);
--- a/src/core/outcome/ledger/elsewhere.rs
+++ b/src/core/outcome/ledger/elsewhere.rs
@@ -244,9 +244,8 @@
             }
             Standing::Sealed | Standing::Ended(_) => {}
         }
-        let answered = matches!(&standing, Standing::Ended(verdict)
-            if matches!(**verdict, Verdict::Ran(_)));
-        if !is_home && !is_witness && !answered {
+        let ended = matches!(&standing, Standing::Ended(_));
+        if !is_home && !is_witness && !ended {
             return;
         }
         if let Some(verdict) = final_word(&standing) {
--- a/src/core/outcome/ledger/keep.rs
+++ b/src/core/outcome/ledger/keep.rs
@@ -27,6 +27,7 @@
             },
             ticket,
         },
+        refusal::Code,
         view::{
             Health,
             View, //
@@ -103,16 +104,12 @@
             .answers
             .put(cx.now, request, class, digest, content.clone());
         self.counters.dropped += dropped;
-        self.copy(
-            cx,
-            request,
-            ticket,
-            Copy::Content {
-                class,
-                digest,
-                content,
-            },
-        );
+        let copy = Copy {
+            class,
+            digest,
+            content,
+        };
+        self.copy(cx, request, ticket, copy);
     }
 
     /// Sends a copy to the witness, or to the request's keeper.
@@ -126,11 +123,14 @@
         if self.policy == Policy::HomeAlone {
             return;
         }
-        let Some(to) = place(cx.view, request, ticket.as_ref()) else {
+        let unreachable = matches!(&copy.content, Content::Refused(refusal)
+            if refusal.code == Code::WitnessUnreachable);
+        // A witness that couldn't be reached before is no place for a copy.
+        let witness = ticket.as_ref().filter(|_| !unreachable);
+        let Some(to) = place(cx.view, request, witness) else {
             return;
         };
-        let too_large = matches!(&copy, Copy::Content { content, .. }
-            if content.bytes() > COPY_LIMIT_BYTES);
+        let too_large = copy.content.bytes() > COPY_LIMIT_BYTES;
         if too_large || self.copies.open.len() >= COPIES_LIMIT {
             self.counters.copies_lost += 1;
             return;
@@ -185,28 +185,20 @@
         let witnessed = ticket
             .as_ref()
             .filter(|ticket| ticket.witness == cx.view.own.id && ticket.home == *from);
-        match copy {
-            Copy::Content {
-                class,
-                digest,
-                content,
-            } => {
-                let class = match class {
-                    Class::Answer => Class::Copy,
-                    class => class,
-                };
-                if let Some(ticket) = witnessed {
-                    self.witness.end(&request, ticket, None);
-                }
-                let dropped = self.answers.put(cx.now, &request, class, digest, content);
-                self.counters.dropped += dropped;
-            }
-            Copy::Refused(refusal) => {
-                if let Some(ticket) = witnessed {
-                    self.witness.end(&request, ticket, Some(refusal));
-                }
-            }
+        if let Some(ticket) = witnessed {
+            let refusal = match &copy.content {
+                Content::Refused(refusal) => Some(refusal.clone()),
+                _ => None,
+            };
+            self.witness.end(&request, ticket, refusal);
         }
+        let class = match copy.class {
+            Class::Answer => Class::Copy,
+            class => class,
+        };
+        let (digest, content) = (copy.digest, copy.content);
+        let dropped = self.answers.put(cx.now, &request, class, digest, content);
+        self.counters.dropped += dropped;
         cx.send(from, Message::Kept { request, part });
     }
 
@@ -250,7 +242,7 @@
             let Some(entry) = self.answers.get(&request) else {
                 continue;
             };
-            let copy = Copy::Content {
+            let copy = Copy {
                 class: entry.class,
                 digest: entry.digest,
                 content: entry.content.clone(),
--- a/src/core/outcome/ledger/mod.rs
+++ b/src/core/outcome/ledger/mod.rs
@@ -463,8 +463,13 @@
             if digest.is_some_and(|digest| digest != entry.digest) {
                 return Standing::Ended(Box::new(Verdict::Refused(id_reused())));
             }
-            if let Content::Whole(answer) = &entry.content {
-                return Standing::Ended(Box::new(Verdict::Ran(answer.clone())));
+            let verdict = match &entry.content {
+                Content::Whole(answer) => Some(Verdict::Ran(answer.clone())),
+                Content::Refused(refusal) => Some(Verdict::Refused(refusal.clone())),
+                Content::Stage { .. } => None,
+            };
+            if let Some(verdict) = verdict {
+                return Standing::Ended(Box::new(verdict));
             }
         }
         if self.running.contains_key(request) {
--- a/src/core/outcome/ledger/run.rs
+++ b/src/core/outcome/ledger/run.rs
@@ -660,7 +660,12 @@
             Verdict::Refused(refusal) => {
                 let end = home::End::Refused(refusal.clone());
                 self.home.end(cx.now, request, end);
-                self.copy(cx, request, ticket, Copy::Refused(refusal));
+                let copy = Copy {
+                    class: Class::Order,
+                    digest: running.digest,
+                    content: Content::Refused(refusal),
+                };
+                self.copy(cx, request, ticket, copy);
             }
             Verdict::AnswerDropped => unreachable!("a request that runs has its answer"),
         }
--- a/src/core/outcome/mod.rs
+++ b/src/core/outcome/mod.rs
@@ -316,29 +316,21 @@
 
 /// What is copied to another host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Copy {
-    /// A finished answer or stage result.
-    Content {
-        /// What it is worth.
-        class: Class,
-        /// Digest of what was asked.
-        digest: Digest,
-        /// The answer or result.
-        content: Content,
-    },
-    /// The word with which a non-idempotent request was refused.
-    Refused(Refusal),
+pub struct Copy {
+    /// What it is worth.
+    pub class: Class,
+    /// Digest of what was asked.
+    pub digest: Digest,
+    /// The answer, result or refusal.
+    pub content: Content,
 }
 
 impl Copy {
     /// Returns which part of the request this is.
     pub fn part(&self) -> Part {
-        match self {
-            Self::Content {
-                content: Content::Stage { index, .. },
-                ..
-            } => Part::Stage(*index),
-            _ => Part::End,
+        match &self.content {
+            Content::Stage { index, .. } => Part::Stage(*index),
+            Content::Whole(_) | Content::Refused(_) => Part::End,
         }
     }
 }
