--- a/src/core/routing/roster.rs
+++ b/src/core/routing/roster.rs
@@ -105,14 +105,15 @@
     }
 }
 
-/// Returns whether a member of a closed roster may have left calls that run on.
+/// Returns whether a member of a closed roster may have left calls that don't fit a later share.
+///
+/// That a member stays on the roster proves nothing: it may have died with calls of its old share.
 fn left_calls(members: &[Id], view: &View) -> bool {
     let epoch = view.roster.epoch;
     members.iter().any(|id| {
-        let stays = *id == view.own.id || view.roster.members.contains(id);
         let shrank = view
             .member(id)
             .is_some_and(|member| member.roster_seen >= epoch);
-        !stays && !shrank
+        *id != view.own.id && !shrank
     })
 }
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -142,6 +142,22 @@
     assert_eq!(sent(pool.step(at(5_020), &view, Event::Tick)).len(), 5);
 }
 
+#[test]
+fn offer_after_member_died_that_stays_on_roster() {
+    // It may have died with calls of its share under the roster before, which a newcomer shrank.
+    let mut pool = pool();
+    let mut view = view(2, 2, document(1, 30, 30));
+    pool.step(at(0), &view, Event::Tick);
+    view.previous_roster = view.roster.clone();
+    view.roster.epoch = 2;
+    view.roster.members.push(id(2));
+    pool.step(at(10), &view, Event::Tick);
+    view.previous_roster.members.clear();
+    pool.step(at(20), &view, Event::Tick);
+    assert!(offer(&mut pool, &view, at(5_000), 0..20).is_empty());
+    assert_eq!(sent(pool.step(at(5_020), &view, Event::Tick)).len(), 10);
+}
+
 #[test]
 fn offer_drained() {
     let mut view = view(0, 1, document(1, 4, 32));
