--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -10,6 +10,7 @@
 mod ledgers;
 mod membership;
 mod options;
+mod orders;
 mod outcome;
 mod overload;
 mod shutdown;
@@ -26,6 +27,7 @@
     ("config", config::run),
     ("drain", drain::measure),
     ("membership", membership::measure),
+    ("orders", orders::measure),
     ("outcome", outcome::measure),
     ("overload", overload::run),
     ("shutdown", shutdown::measure),
