Limit organisations' requests over the whole system, with lending between hosts

Cause: requests_per_second was in the document and nothing asked it.

Ruled out: counts spread between hosts, which are late under a flood. Measured: tests only (rate.rs, offer_organisation_beyond_its_part).

--- a/src/core/routing/board.rs
+++ b/src/core/routing/board.rs
@@ -6,6 +6,7 @@
 
 use super::{
     budget::Budget,
+    rate::Rates,
     remaining::Histogram,
     roster::History, //
 };
@@ -22,6 +23,7 @@
 #[derive(Default)]
 pub struct Board {
     budget: Mutex<Budget>,
+    rates: Mutex<Rates>,
     rosters: Mutex<History>,
     times: Mutex<BTreeMap<Name, Vec<Histogram>>>,
 }
@@ -42,6 +44,11 @@
         change(&mut self.budget.lock())
     }
 
+    /// Reads or changes the tokens of organisations.
+    pub fn with_rates<T>(&self, change: impl FnOnce(&mut Rates) -> T) -> T {
+        change(&mut self.rates.lock())
+    }
+
     /// Notes how long a stage took from its offer to its answer, in milliseconds.
     pub fn took(&self, now: Instant, pipeline: &Name, stage: usize, ms: u64) {
         let mut times = self.times.lock();
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -27,6 +27,7 @@
 pub mod policy;
 pub mod pool;
 pub mod queue;
+pub mod rate;
 pub mod refuse;
 pub mod remaining;
 pub mod roster;
--- a/src/core/routing/pool.rs
+++ b/src/core/routing/pool.rs
@@ -24,7 +24,7 @@
         Queue,
         Waiting, //
     },
-    refuse,
+    rate, refuse,
     remaining::Histogram,
     server::{
         Distance,
@@ -355,7 +355,7 @@
         let known = self.queue.remove(call.id).is_some() || self.sent.contains_key(&call.id);
         assert!(!known, "a call is offered once");
         let id = call.id;
-        if let Err(refusal) = self.admit(now, view, call) {
+        if let Err(refusal) = self.admit(now, view, call, out) {
             out.push(Action::Refuse { call: id, refusal });
         }
         while self.queue.len() > QUEUE_LIMIT {
@@ -369,10 +369,20 @@
         }
     }
 
-    fn admit(&mut self, now: Instant, view: &View, call: Call) -> refuse::Result<()> {
+    fn admit(
+        &mut self,
+        now: Instant,
+        view: &View,
+        call: Call,
+        out: &mut Vec<Action>,
+    ) -> refuse::Result<()> {
         if self.document.is_none() {
             return Err(refuse::unknown_pool(&self.name));
         }
+        // Only the first call of a request counts, and requests of baselines don't.
+        if call.stage == 0 && call.attempt == 0 && self.policy == Policy::Teaselchute {
+            self.take_token(now, view, &call.request.organisation, out)?;
+        }
         let organisation = &call.request.organisation;
         let paid = self.board.with_budget(|budget| {
             if call.attempt == 0 {
@@ -424,6 +434,39 @@
         Ok(())
     }
 
+    /// Takes a token of an organisation whose requests are limited, and borrows where few are left.
+    fn take_token(
+        &mut self,
+        now: Instant,
+        view: &View,
+        organisation: &Name,
+        out: &mut Vec<Action>,
+    ) -> refuse::Result<()> {
+        let Some(limit) = rate_limit(view, organisation) else {
+            return Ok(());
+        };
+        let (taken, borrows) = self.board.with_rates(|rates| {
+            let taken = rates.take(now, organisation, limit);
+            (taken, rates.borrows(now, organisation, limit))
+        });
+        let members = &view.roster.members;
+        if borrows && !members.is_empty() {
+            let to = &members[self.rng.random_range(0..members.len())];
+            if *to != view.own.id {
+                out.push(Action::Tell {
+                    to: to.clone(),
+                    message: Message::Borrow {
+                        organisation: organisation.clone(),
+                    },
+                });
+            }
+        }
+        if taken {
+            return Ok(());
+        }
+        Err(refuse::organisation_limit(limit.per_second))
+    }
+
     /// Returns how long a call would wait for its turn, in milliseconds.
     fn wait_ms(&self, call: &Call, weight: u32, half_ms: u64) -> u64 {
         let organisation = &call.request.organisation;
@@ -883,6 +926,29 @@
                     self.servers[index].inbox.put(now, from, number);
                 }
             }
+            Message::Borrow { organisation } => {
+                let Some(limit) = rate_limit(view, &organisation) else {
+                    return;
+                };
+                let lend = |rates: &mut rate::Rates| rates.lend(now, &organisation, limit);
+                let tokens = self.board.with_rates(lend);
+                if tokens > 0 {
+                    let message = Message::Lend {
+                        organisation,
+                        tokens,
+                    };
+                    out.push(Action::Tell { to: from, message });
+                }
+            }
+            Message::Lend {
+                organisation,
+                tokens,
+            } => {
+                if let Some(limit) = rate_limit(view, &organisation) {
+                    self.board
+                        .with_rates(|rates| rates.receive(now, &organisation, limit, tokens));
+                }
+            }
             Message::Vouch {
                 server,
                 start,
@@ -1003,6 +1069,15 @@
     }
 }
 
+/// Returns the limit of an organisation's requests, nothing where it has none.
+fn rate_limit(view: &View, organisation: &Name) -> Option<rate::Limit> {
+    let described = view.document.organisations.get(organisation)?;
+    Some(rate::Limit {
+        per_second: described.requests_per_second?,
+        hosts: view.roster.members.len() as u32,
+    })
+}
+
 fn distance(view: &View, data_centre: &Name) -> Distance {
     if *data_centre == view.own.data_centre {
         return Distance::DataCentre;
--- a/src/core/routing/refuse.rs
+++ b/src/core/routing/refuse.rs
@@ -48,6 +48,16 @@
     .retry_after_ms(RETRY_AFTER_MS)
 }
 
+/// The organisation has used its requests a second.
+pub fn organisation_limit(per_second: u32) -> Refusal {
+    Refusal::not_run(
+        Code::OrganisationLimit,
+        Remedy::Wait,
+        format!("the organisation may send {per_second} requests a second"),
+    )
+    .retry_after_ms(1_000 / u64::from(per_second.max(1)) + 1)
+}
+
 /// The queue is full and this call is wanted least.
 pub fn queue_full(limit: usize) -> Refusal {
     Refusal::not_run(
--- a/src/core/routing/vouch.rs
+++ b/src/core/routing/vouch.rs
@@ -53,6 +53,18 @@
         /// Number of the question.
         number: u64,
     },
+    /// Asks for tokens of an organisation whose requests a second are limited.
+    Borrow {
+        /// The organisation.
+        organisation: Name,
+    },
+    /// Lends tokens of an organisation, which the sender has given up.
+    Lend {
+        /// The organisation.
+        organisation: Name,
+        /// Thousandths of a request.
+        tokens: u64,
+    },
 }
 
 /// This host's question about one server.
--- a/tests/core/routing/mod.rs
+++ b/tests/core/routing/mod.rs
@@ -3,6 +3,7 @@
 mod limit;
 mod pool;
 mod queue;
+mod rate;
 mod remaining;
 mod share;
 
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -12,6 +12,7 @@
             End,
             Load, //
         },
+        document::Organisation,
         refusal::{
             Code,
             Run, //
@@ -19,6 +20,7 @@
         routing::{
             Action,
             Event,
+            Message,
             Pool, //
         },
         state::Target,
@@ -181,6 +183,61 @@
     }
 }
 
+#[test]
+fn offer_organisation_beyond_its_part() {
+    let mut document = document(1, 100, 100);
+    let organisation = Organisation {
+        credential_digest: Name::from(""),
+        weight: 1,
+        requests_per_second: Some(18),
+        pipelines: Default::default(),
+        services: Vec::new(),
+    };
+    document
+        .organisations
+        .insert(Name::from("o1"), Arc::new(organisation));
+    let views = [view(0, 9, document.clone()), view(1, 9, document)];
+    let mut pools = [pool(), pool()];
+    // The part of one of nine hosts is 2 a second.
+    let mut refused = 0;
+    let mut borrows = 0;
+    for number in 0..5 {
+        for action in pools[0].step(at(0), &views[0], Event::Offer(some_call(number))) {
+            match action {
+                Action::Refuse { refusal, .. } => {
+                    assert_eq!(refusal.code, Code::OrganisationLimit);
+                    refused += 1;
+                }
+                Action::Tell { message, .. } => {
+                    assert!(matches!(message, Message::Borrow { .. }));
+                    borrows += 1;
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(refused, 3);
+    assert!(borrows <= 1);
+    let borrow = Event::Message {
+        from: id(0),
+        message: Message::Borrow {
+            organisation: Name::from("o1"),
+        },
+    };
+    let actions = pools[1].step(at(0), &views[1], borrow);
+    let [Action::Tell { message, .. }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    let lent = Event::Message {
+        from: id(1),
+        message: message.clone(),
+    };
+    pools[0].step(at(0), &views[0], lent);
+    let actions = pools[0].step(at(0), &views[0], Event::Offer(some_call(10)));
+    let refused = |action: &Action| matches!(action, Action::Refuse { .. });
+    assert!(!actions.iter().any(refused));
+}
+
 #[test]
 fn offer_retry_without_budget() {
     let view = view(0, 1, document(2, 4, 32));
