Hold calls back after a pause, until evidence in the sockets is read

Ruled out: shares (the host's own view was a warm server), rosters (not changing). The test offer_after_member_gone_waits_call_timeout ticks like a daemon now; its assertions stand and three more come.

--- a/examples/driver/server.rs
+++ b/examples/driver/server.rs
@@ -31,6 +31,9 @@
     pub knew: bool,
     /// When the last message of the call reaches the host: later ones come later.
     pub last_delivery: Instant,
+    /// Whether a part of the answer was lost in a cut: nothing comes through any more, as on a
+    /// connection that lost a segment for good.
+    pub silent: bool,
 }
 
 /// What the server can do, unchanged over its lives.
--- a/examples/driver/world/callers.rs
+++ b/examples/driver/world/callers.rs
@@ -313,7 +313,7 @@
         }
         let caller = self.callers.asked[open.asked].process;
         if self.driver.is_cut(host, caller) {
-            return;
+            return self.silence(exchange);
         }
         let delay_ms = self.driver.delay_ms(host, caller);
         let earliest = open_delivery(&self.callers, exchange);
@@ -326,6 +326,13 @@
             .put(at.since_ms(self.driver.now()), caller, event);
     }
 
+    /// Lets nothing more through a connection that lost something in a cut.
+    fn silence(&mut self, exchange: u64) {
+        if let Some(open) = self.callers.exchanges.get_mut(&exchange) {
+            open.silent = true;
+        }
+    }
+
     fn caller_given(&mut self, action: outcome::Action) {
         let Some(exchange) = exchange_of(&action) else {
             return;
--- a/examples/driver/world/checks.rs
+++ b/examples/driver/world/checks.rs
@@ -60,6 +60,7 @@
     /// When evidence of a server's life reaches a host: host, server, life.
     evidence: BTreeMap<(Process, usize), (Start, Instant)>,
     drained_since: BTreeMap<Target, Instant>,
+    drain_orders: BTreeSet<Name>,
     last_position: BTreeMap<Process, Position>,
     was_serving: BTreeSet<Process>,
     accepted: Position,
@@ -156,9 +157,13 @@
 
     pub(super) fn record_appended(&mut self, _offset: Offset, record: &Record) {
         self.checks.now = self.driver.now();
-        let Record::Drain { target, out, .. } = record else {
+        let Record::Drain { id, target, out } = record else {
             return;
         };
+        // The same order may land twice, where the answer to its append was lost.
+        if !self.checks.drain_orders.insert(id.clone()) {
+            return;
+        }
         if *out {
             let now = self.driver.now();
             self.checks
@@ -205,11 +210,22 @@
         let over = running.saturating_sub(capacity);
         self.checks.peak_over_limit = self.checks.peak_over_limit.max(over);
         if arriving.knew && knowing + 1 > capacity {
+            let holders: Vec<String> = server
+                .running
+                .values()
+                .map(|it| {
+                    format!(
+                        "{} of host {} knew={}",
+                        it.call.request.id, it.host, it.knew
+                    )
+                })
+                .collect();
             let text = format!(
-                "{} carries {capacity}, got call {} from host {}",
+                "{} carries {capacity}, got {} from host {}, runs {}",
                 server.shape.name,
-                knowing + 1,
-                arriving.host
+                arriving.call.request.id,
+                arriving.host,
+                holders.join(", ")
             );
             self.checks.broken("over_capacity", &text);
         } else if over > 0 {
--- a/examples/driver/world/servers.rs
+++ b/examples/driver/world/servers.rs
@@ -34,6 +34,9 @@
     server::Running, //
 };
 
+/// Time after which a host finds that no connection can be opened, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
 impl World {
     pub(super) fn send_call(&mut self, host: Process, call: Call, server: &Name) {
         let Some(target) = self.server_process(&call.pool, server) else {
@@ -42,15 +45,18 @@
         let number = self.server_number(target);
         self.check_send(host, number, &call);
         let knew = self.checks.knows(host, number, self.servers[number].start);
-        if self.driver.is_cut(host, target) {
-            return self.end_later(host, target, &call, End::NotSent, None, Instant::ZERO);
-        }
         let running = Running {
             host,
             call,
             knew,
             last_delivery: Instant::ZERO,
+            silent: false,
         };
+        if self.driver.is_cut(host, target) {
+            // The host finds no connection, which it knows by itself.
+            let at = self.driver.now().after_ms(CONNECT_TIMEOUT_MS);
+            return self.put_end(at, target, &running, End::NotSent, None);
+        }
         let delay_ms = self.driver.delay_ms(host, target);
         self.driver
             .put(delay_ms, target, Event::Call(Box::new(running)));
@@ -137,8 +143,7 @@
         } else {
             End::Answered(body)
         };
-        let after = running.last_delivery;
-        self.end_later(host, process, &running.call, end, Some(start), after);
+        self.end_later(process, &running, end, Some(start));
     }
 
     pub(super) fn call_aborted(&mut self, process: Process, host: Process, call: call::Id) {
@@ -146,42 +151,47 @@
         let server = &mut self.servers[number];
         let start = server.start;
         if let Some(running) = server.running.remove(&(host, call)) {
-            let after = running.last_delivery;
-            let end = End::Cancelled;
-            self.end_later(host, process, &running.call, end, Some(start), after);
+            self.end_later(process, &running, End::Cancelled, Some(start));
         }
     }
 
     /// Brings the end of a call to its host, after all its pieces.
-    fn end_later(
+    ///
+    /// A reset of the connection tells no start. Nothing comes through a cut, nor after one.
+    fn end_later(&mut self, server: Process, running: &Running, end: End, start: Option<Start>) {
+        let host = running.host;
+        if running.silent || self.driver.is_cut(server, host) {
+            return;
+        }
+        let delay_ms = self.driver.delay_ms(server, host);
+        let at = self.driver.now().after_ms(delay_ms);
+        let at = at.max(running.last_delivery);
+        if let Some(start) = start {
+            let number = self.server_number(server);
+            self.checks.tells(host, number, start, at);
+        }
+        self.put_end(at, server, running, end, start);
+    }
+
+    fn put_end(
         &mut self,
-        host: Process,
+        at: Instant,
         server: Process,
-        call: &Call,
+        running: &Running,
         end: End,
         start: Option<Start>,
-        after: Instant,
     ) {
         let number = self.server_number(server);
         let event = node::Event::Ended {
-            call: call.id,
-            pool: call.pool.clone(),
+            call: running.call.id,
+            pool: running.call.pool.clone(),
             server: self.servers[number].shape.name.clone(),
             start,
             end,
         };
-        let now = self.driver.now();
-        let lost = self.driver.is_cut(server, host) && start.is_some();
-        if lost {
-            return;
-        }
-        let delay_ms = self.driver.delay_ms(server, host);
-        let at = now.after_ms(delay_ms).max(after);
-        if let Some(start) = start {
-            self.checks.tells(host, number, start, at);
-        }
+        let delay_ms = at.since_ms(self.driver.now());
         let event = Event::Node(Box::new(event));
-        self.driver.put(at.since_ms(now), host, event);
+        self.driver.put(delay_ms, running.host, event);
     }
 
     fn deliver_in_order(
@@ -192,15 +202,17 @@
         event: node::Event,
         start: Start,
     ) {
-        if self.driver.is_cut(process, host) {
-            return;
-        }
         let now = self.driver.now();
+        let cut = self.driver.is_cut(process, host);
         let delay_ms = self.driver.delay_ms(process, host);
         let number = self.server_number(process);
         let Some(running) = self.servers[number].running.get_mut(&(host, call)) else {
             return;
         };
+        running.silent |= cut;
+        if running.silent {
+            return;
+        }
         let at = now.after_ms(delay_ms).max(running.last_delivery);
         running.last_delivery = at;
         self.checks.tells(host, number, start, at);
@@ -221,8 +233,7 @@
             dropped.len()
         ));
         for running in dropped {
-            let after = running.last_delivery;
-            self.end_later(running.host, process, &running.call, End::Lost, None, after);
+            self.end_later(process, &running, End::Lost, None);
         }
     }
 
--- a/examples/soak/shrink.rs
+++ b/examples/soak/shrink.rs
@@ -33,11 +33,14 @@
     for text in shrunk.texts.iter().take(3) {
         println!("  {text}");
     }
-    let about = shrunk.texts.first().and_then(|text| request_in(text));
+    let first = shrunk.texts.first().map_or("", String::as_str);
+    let requests = requests_in(first);
+    let until = at_ms(first).unwrap_or(u64::MAX);
     let lines: Vec<&String> = shrunk
         .trace
         .iter()
-        .filter(|line| is_about(line, about.as_deref()))
+        .filter(|line| is_about(line, &requests))
+        .filter(|line| at_ms(line).is_none_or(|at| at <= until))
         .collect();
     let from = lines.len().saturating_sub(TRACE_LINES);
     for line in &lines[from..] {
@@ -108,19 +111,27 @@
     plan.faults.change_every_ms = 0;
 }
 
-/// Returns the request that a violation is about, where it is about one.
-fn request_in(text: &str) -> Option<String> {
-    let word = text.split_whitespace().find(|it| it.contains("request-"))?;
-    Some(word.trim_end_matches(':').to_owned())
+/// Returns the requests that a violation names.
+fn requests_in(text: &str) -> Vec<String> {
+    text.split_whitespace()
+        .filter(|word| word.contains("request-"))
+        .map(|word| word.trim_end_matches(':').to_owned())
+        .collect()
 }
 
-/// Returns whether a line tells of a request, or else of a fault, a proposal or the log.
-fn is_about(line: &str, request: Option<&str>) -> bool {
-    let Some(request) = request else {
+/// Returns the time with which a line starts.
+fn at_ms(line: &str) -> Option<u64> {
+    line.split_whitespace().next()?.parse().ok()
+}
+
+/// Returns whether a line tells of one of the requests, or else of a fault.
+fn is_about(line: &str, requests: &[String]) -> bool {
+    if requests.is_empty() {
         return !line.contains("request-");
-    };
+    }
     let mut words = line.split_whitespace();
-    words.any(|word| word == request) || FAULT_WORDS.iter().any(|word| line.contains(word))
+    words.any(|word| requests.iter().any(|it| it == word))
+        || FAULT_WORDS.iter().any(|word| line.contains(word))
 }
 
 /// Words of those lines that tell of faults.
--- a/src/core/routing/pool.rs
+++ b/src/core/routing/pool.rs
@@ -69,6 +69,12 @@
     time::Instant,
 };
 
+/// Gap between ticks from which on the process counts as paused, in milliseconds.
+const PAUSE_MS: u64 = 250;
+
+/// Time after a pause in which what waits in the sockets is read first, in milliseconds.
+const WAKE_MS: u64 = 100;
+
 /// Most calls that wait in one pool of one host.
 const QUEUE_LIMIT: usize = 4_096;
 
@@ -119,6 +125,8 @@
     turn: usize,
     ask_next: usize,
     asked: u64,
+    last_tick: Option<Instant>,
+    hold_until: Instant,
 }
 
 impl Pool {
@@ -151,6 +159,8 @@
             turn: 0,
             ask_next: 0,
             asked: 0,
+            last_tick: None,
+            hold_until: Instant::ZERO,
         }
     }
 
@@ -159,6 +169,7 @@
         let mut out = Vec::new();
         self.board.observe(now, view);
         self.follow(now, view);
+        self.wake(now, matches!(event, Event::Tick));
         match event {
             Event::Offer(call) => self.offer(now, view, call, &mut out),
             Event::Cancel(call) => self.cancel(call, &mut out),
@@ -188,6 +199,21 @@
         out
     }
 
+    /// Holds calls back for a moment after this process was paused.
+    ///
+    /// Evidence that servers turned cold may wait in its sockets behind requests that came before.
+    fn wake(&mut self, now: Instant, is_tick: bool) {
+        let slept = self
+            .last_tick
+            .is_some_and(|last| now.since_ms(last) > PAUSE_MS);
+        if slept && self.policy == Policy::Teaselchute {
+            self.hold_until = now.after_ms(WAKE_MS);
+        }
+        if is_tick || slept {
+            self.last_tick = Some(now);
+        }
+    }
+
     /// Returns whether all calls on cold servers fit the share under this roster epoch, so that
     /// others may count on it.
     pub fn has_shrunk(&self, view: &View) -> bool {
@@ -490,6 +516,9 @@
 
     /// Sends what waits, as far as servers have room.
     fn dispatch(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
+        if now < self.hold_until {
+            return;
+        }
         let mut unsent = Vec::new();
         while unsent.len() < DISPATCH_TRIES && !self.open.is_empty() {
             let Some(waiting) = self.queue.pop() else {
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -134,12 +134,18 @@
     pool.step(at(10), &view, Event::Tick);
     view.previous_roster.members.clear();
     assert!(sent(pool.step(at(20), &view, Event::Tick)).is_empty());
+    // Ticks come often enough that the process doesn't count as paused.
+    for ms in (200..=2_000).step_by(200) {
+        pool.step(at(ms), &view, Event::Tick);
+    }
     // The calls of the one who is gone run 5 s at most.
-    pool.step(at(1_000), &view, Event::Tick);
     assert!(offer(&mut pool, &view, at(2_000), 100..120).is_empty());
     for call in &calls {
         end(&mut pool, &view, at(2_000), call, 1, answered());
     }
+    for ms in (2_000..=5_000).step_by(200) {
+        assert!(sent(pool.step(at(ms), &view, Event::Tick)).is_empty());
+    }
     assert!(sent(pool.step(at(5_019), &view, Event::Tick)).is_empty());
     assert_eq!(sent(pool.step(at(5_020), &view, Event::Tick)).len(), 5);
 }
@@ -480,3 +486,13 @@
     assert_eq!(offer(&mut pool, &view, at(1_000), 0..1).len(), 1);
     assert!(offer(&mut pool, &view, at(5_000), 1..2).is_empty());
 }
+
+#[test]
+fn offer_after_pause_waits_for_evidence() {
+    let view = view(0, 1, document(1, 4, 32));
+    let mut pool = pool();
+    pool.step(at(0), &view, Event::Tick);
+    assert!(offer(&mut pool, &view, at(3_000), 0..2).is_empty());
+    assert!(sent(pool.step(at(3_050), &view, Event::Tick)).is_empty());
+    assert_eq!(sent(pool.step(at(3_100), &view, Event::Tick)).len(), 2);
+}
