--- a/examples/driver/world/checks.rs
+++ b/examples/driver/world/checks.rs
@@ -23,6 +23,7 @@
             Verdict, //
         },
     },
+    names::Name,
     time::Instant,
 };
 
