Add the operators' command line and typed changes of documents

Operators check, try, promote, compare and drain with teaselchute, and learn what is in force where and why. A change is checked by the host that takes it and carries an id under which its verdict can be asked again, so that an answer that was lost does no harm.

--- a/src/bin/teaselchute.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The operators' command line.
-
-fn main() {}
--- /dev/null
+++ b/src/bin/teaselchute/args.rs
@@ -0,0 +1,199 @@
+//! Subcommands and their options.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf, //
+};
+
+use getopts::Options as Parser;
+
+/// Environment variable with the hosts to ask, where no option names them.
+const HOSTS_VARIABLE: &str = "TEASELCHUTE_HOSTS";
+
+/// Environment variable with the file that holds the operators' credential.
+const CREDENTIAL_VARIABLE: &str = "TEASELCHUTE_CREDENTIAL_FILE";
+
+const BRIEF: &str = "\
+Usage: teaselchute SUBCOMMAND [OPTIONS] [ARGUMENTS]
+
+  check FILE                check a document without asking any host
+  try ENV FILE              put a document into an environment, such as trial
+  promote FROM TO           put the document of one environment into another
+  diff FROM TO|FILE         show the parts in which two documents differ
+  status                    show which host has which configuration in force
+  drain TARGET              take a data centre, or a server as POOL/SERVER, out
+  undrain TARGET            bring it back
+  why ORGANISATION/ID       show each decision about a request and its reason
+  hosts                     show the entry hosts
+  servers                   show the backend servers
+
+`teaselchute SUBCOMMAND --help` shows the options of a subcommand.
+
+Exit codes: 0 done, 1 nothing could be learned, 2 the command line is wrong,
+3 the document has problems or the change was refused, 4 sent, verdict not known
+yet: run it again with the same --id.";
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Check a document.
+    Check(PathBuf),
+    /// Put a document into an environment.
+    Try(String, PathBuf),
+    /// Put the document of one environment into another.
+    Promote(String, String),
+    /// Compare an environment with another, or with a file.
+    Diff(String, String),
+    /// Show configurations in force.
+    Status,
+    /// Take something out, or bring it back.
+    Drain {
+        /// What, as the operator wrote it.
+        target: String,
+        /// Whether it's taken out.
+        out: bool,
+    },
+    /// Show decisions.
+    Why(String),
+    /// Show entry hosts.
+    Hosts,
+    /// Show backend servers.
+    Servers,
+}
+
+/// A whole command.
+#[derive(Clone, Debug)]
+pub struct Command {
+    /// What to do.
+    pub action: Action,
+    /// Hosts to ask, in this order.
+    pub hosts: Vec<SocketAddr>,
+    /// File with the operators' credential.
+    pub credential_file: Option<PathBuf>,
+    /// Id of the change, drawn where there is none.
+    pub id: Option<String>,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// A command, or a text to print.
+pub enum Parsed {
+    /// A command to run.
+    Command(Command),
+    /// Help or version.
+    Text(String),
+}
+
+fn parser() -> Parser {
+    let mut parser = Parser::new();
+    parser.optmulti(
+        "",
+        "host",
+        "ask this host, may be repeated (else $TEASELCHUTE_HOSTS, separated by commas)",
+        "ADDRESS",
+    );
+    parser.optopt(
+        "",
+        "credential-file",
+        "file with the operators' credential (else $TEASELCHUTE_CREDENTIAL_FILE)",
+        "FILE",
+    );
+    parser.optopt(
+        "",
+        "id",
+        "id of the change, the same to learn the verdict of one sent before",
+        "ID",
+    );
+    parser.optflag("", "json", "print JSON");
+    parser.optflag("h", "help", "print this help");
+    parser
+}
+
+/// Parses a command line without the program's name.
+pub fn parse(words: &[String]) -> Result<Parsed, String> {
+    let parser = parser();
+    let Some(name) = words.first() else {
+        return Err(format!("a subcommand is needed\n\n{BRIEF}"));
+    };
+    match name.as_str() {
+        "--help" | "-h" | "help" => return Ok(Parsed::Text(BRIEF.to_string())),
+        "--version" | "-V" => {
+            let version = format!("teaselchute {}", env!("CARGO_PKG_VERSION"));
+            return Ok(Parsed::Text(version));
+        }
+        _ => {}
+    }
+    let usage = || parser.usage(&format!("Usage: teaselchute {}", arguments(name)));
+    let matches = parser
+        .parse(&words[1..])
+        .map_err(|error| format!("{error}\n\n{}", usage()))?;
+    if matches.opt_present("help") {
+        return Ok(Parsed::Text(usage()));
+    }
+    let action = action(name, &matches.free).ok_or_else(|| wrong(name, &usage()))?;
+    let mut hosts = matches.opt_strs("host");
+    if hosts.is_empty() {
+        let listed = std::env::var(HOSTS_VARIABLE).unwrap_or_default();
+        hosts.extend(
+            listed
+                .split(',')
+                .filter(|host| !host.is_empty())
+                .map(String::from),
+        );
+    }
+    let hosts = hosts.iter().map(|host| {
+        let address = host.parse::<SocketAddr>();
+        address.map_err(|_| format!("host {host:?} is not an IP number with a port"))
+    });
+    let credential_file = matches.opt_str("credential-file").map(PathBuf::from);
+    Ok(Parsed::Command(Command {
+        action,
+        hosts: hosts.collect::<Result<_, _>>()?,
+        credential_file: credential_file
+            .or_else(|| std::env::var_os(CREDENTIAL_VARIABLE).map(PathBuf::from)),
+        id: matches.opt_str("id"),
+        json: matches.opt_present("json"),
+    }))
+}
+
+fn wrong(name: &str, usage: &str) -> String {
+    if arguments(name) == "SUBCOMMAND" {
+        return format!("no subcommand {name:?}\n\n{BRIEF}");
+    }
+    format!("wrong arguments\n\n{usage}")
+}
+
+fn arguments(name: &str) -> &'static str {
+    match name {
+        "check" => "check FILE",
+        "try" => "try ENV FILE",
+        "promote" => "promote FROM TO",
+        "diff" => "diff FROM TO|FILE",
+        "status" => "status",
+        "drain" => "drain DATA_CENTRE|POOL/SERVER",
+        "undrain" => "undrain DATA_CENTRE|POOL/SERVER",
+        "why" => "why ORGANISATION/ID",
+        "hosts" => "hosts",
+        "servers" => "servers",
+        _ => "SUBCOMMAND",
+    }
+}
+
+fn action(name: &str, free: &[String]) -> Option<Action> {
+    let action = match (name, free) {
+        ("check", [file]) => Action::Check(file.into()),
+        ("try", [environment, file]) => Action::Try(environment.clone(), file.into()),
+        ("promote", [from, to]) => Action::Promote(from.clone(), to.clone()),
+        ("diff", [from, to]) => Action::Diff(from.clone(), to.clone()),
+        ("status", []) => Action::Status,
+        ("drain" | "undrain", [target]) => Action::Drain {
+            target: target.clone(),
+            out: name == "drain",
+        },
+        ("why", [subject]) => Action::Why(subject.clone()),
+        ("hosts", []) => Action::Hosts,
+        ("servers", []) => Action::Servers,
+        _ => return None,
+    };
+    Some(action)
+}
--- a/src/shell/http/operator.rs
+++ b/src/shell/http/operator.rs
@@ -15,10 +15,12 @@
 };
 use serde::{
     Deserialize,
-    Serialize,
     de::DeserializeOwned, //
 };
-use serde_json::json;
+use serde_json::{
+    json,
+    value::RawValue, //
+};
 use tokio::sync::oneshot;
 
 use super::{
@@ -34,7 +36,6 @@
     core::{
         document::{
             self,
-            Document,
             Edit, //
         },
         node::Event,
@@ -50,8 +51,10 @@
         state::{
             Change,
             Record,
+            State,
             Target,
-            Verdict, //
+            Verdict,
+            publish, //
         },
     },
     names::Name,
@@ -212,16 +215,27 @@
         .map_err(|error| bad(format!("{}: {}", error.path(), error.inner())))
 }
 
-/// A change of an environment: the whole document that is wanted, or single edits.
+/// A change of an environment: the whole document that is wanted, single edits, or another
+/// environment's document.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ChangeBody {
     id: Name,
     based_on: u64,
     #[serde(default)]
-    document: Option<Document>,
+    document: Option<Box<RawValue>>,
     #[serde(default)]
     edits: Option<Vec<Edit>>,
+    #[serde(default)]
+    promote: Option<Promote>,
+}
+
+/// The environment whose document is wanted, at the revision that was tried.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Promote {
+    from: Name,
+    tried: u64,
 }
 
 async fn change(
@@ -233,43 +247,85 @@
     if let Err(refused) = authorise(&shell, &request) {
         return refused;
     }
-    let wanted: ChangeBody = match read_json(&shell, &mut payload).await {
-        Ok(wanted) => wanted,
-        Err(refused) => return refused,
+    let limit = shell.options.config.limits.document_bytes;
+    let body = match read_body(&shell, &mut payload, limit).await {
+        Ok(body) => body,
+        Err(refusal) => return answer::refuse(None, &refusal),
     };
-    let environment = Name::from(name.as_str());
-    let edits = match edits(&shell, &environment, wanted.document, wanted.edits) {
-        Ok(edits) => edits,
-        Err(refused) => return refused,
+    let wanted: ChangeBody = match serde_json::from_slice(&body) {
+        Ok(wanted) => wanted,
+        Err(error) => return bad(error.to_string()),
     };
-    let record = Record::Change(Change {
-        id: wanted.id.clone(),
-        environment,
-        based_on: wanted.based_on,
-        edits,
-    });
-    propose(&shell, &wanted.id, record).await
+    let id = wanted.id.clone();
+    match make_change(&shell, name.as_str().into(), wanted) {
+        Ok(change) => propose(&shell, &id, Record::Change(change)).await,
+        Err(response) => response,
+    }
 }
 
-fn edits(
+fn make_change(
     shell: &Shell,
-    environment: &Name,
-    document: Option<Document>,
-    edits: Option<Vec<Edit>>,
-) -> Result<Vec<Edit>, HttpResponse> {
-    match (document, edits) {
-        (Some(document), None) => {
-            let before = shell.node.with_control(|control| {
-                let environments = &control.replica().state().environments;
-                environments.get(environment).cloned().unwrap_or_default()
-            });
-            Ok(document::diff(&before.document, &document))
+    environment: Name,
+    wanted: ChangeBody,
+) -> Result<Change, HttpResponse> {
+    let (id, based_on) = (wanted.id, wanted.based_on);
+    let made = match (wanted.document, wanted.edits, wanted.promote) {
+        (Some(text), None, None) => {
+            let document = document::check(text.get()).map_err(problems)?;
+            with_state(shell, |state| {
+                state.publication(id.clone(), environment, based_on, &document)
+            })
+        }
+        (None, Some(edits), None) => with_state(shell, |state| {
+            let known = state.environments.get(&environment);
+            let mut document = known
+                .map(|known| (*known.document).clone())
+                .unwrap_or_default();
+            edits.iter().for_each(|edit| document.apply(edit));
+            let found = document.problems();
+            if !found.is_empty() {
+                return Err(publish::Error::Problems(found));
+            }
+            state.publication(id.clone(), environment, based_on, &document)
+        }),
+        (None, None, Some(promote)) => with_state(shell, |state| {
+            let Promote { from, tried } = promote;
+            state.promotion(id.clone(), &from, tried, environment, based_on)
+        }),
+        _ => return Err(bad("one of document, edits and promote is needed")),
+    };
+    made.map_err(|error| unpublished(&id, error))
+}
+
+fn with_state<T>(shell: &Shell, read: impl FnOnce(&State) -> T) -> T {
+    shell
+        .node
+        .with_control(|control| read(control.replica().state()))
+}
+
+/// Tells why no change could be made, or what became of it before.
+fn unpublished(id: &Name, error: publish::Error) -> HttpResponse {
+    match error {
+        publish::Error::Known(verdict) => verdict_response(id, &Answer::Verdict(verdict)),
+        publish::Error::Problems(found) => problems(found),
+        error @ publish::Error::Behind { .. } => {
+            let detail = error.to_string();
+            let refusal = Refusal::not_run(Code::StaleNews, Remedy::AnotherHost, detail);
+            answer::refuse(None, &refusal)
+        }
+        error => {
+            let reason = error.to_string();
+            HttpResponse::Conflict().json(&json!({ "id": id, "verdict": "void", "reason": reason }))
         }
-        (None, Some(edits)) => Ok(edits),
-        _ => Err(bad("either document or edits is needed")),
     }
 }
 
+fn problems(found: Vec<document::Problem>) -> HttpResponse {
+    let detail = format!("the document has {} problems", found.len());
+    let refusal = Refusal::not_run(Code::BadRequest, Remedy::ChangeRequest, detail);
+    HttpResponse::BadRequest().json(&json!({ "refusal": refusal, "problems": found }))
+}
+
 /// What operators take out or bring back.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -305,14 +361,6 @@
     propose(&shell, &wanted.id, record).await
 }
 
-/// What became of a change, as operators are told.
-#[derive(Serialize)]
-struct Proposed<'a> {
-    id: &'a Name,
-    #[serde(flatten)]
-    verdict: serde_json::Value,
-}
-
 /// Proposes a record and waits for its verdict.
 async fn propose(shell: &Arc<Shell>, id: &Name, record: Record) -> HttpResponse {
     let asker = Asker(shell.next_asker.fetch_add(1, Ordering::Relaxed));
@@ -324,22 +372,34 @@
     });
     let answer = tokio::time::timeout(VERDICT_WAIT, answer).await;
     shell.askers.lock().remove(&asker);
-    let (mut response, verdict) = match answer {
-        Ok(Ok(Answer::Verdict(Verdict::Accepted(position)))) => (
-            HttpResponse::Ok(),
-            json!({ "verdict": "accepted", "position": position }),
-        ),
-        Ok(Ok(Answer::Verdict(Verdict::Void(reason)))) => (
-            HttpResponse::Conflict(),
-            json!({ "verdict": "void", "reason": reason }),
-        ),
-        _ => (
-            HttpResponse::Accepted(),
-            json!({
-                "verdict": "unknown",
-                "reason": "no verdict yet: send it again with the same id to learn it",
-            }),
-        ),
-    };
-    response.json(&Proposed { id, verdict })
+    match answer {
+        Ok(Ok(answer)) => verdict_response(id, &answer),
+        _ => verdict_response(id, &Answer::Unknown),
+    }
+}
+
+fn verdict_response(id: &Name, known: &Answer) -> HttpResponse {
+    match known {
+        Answer::Verdict(Verdict::Accepted(position)) => HttpResponse::Ok()
+            .json(&json!({ "id": id, "verdict": "accepted", "position": position })),
+        Answer::Verdict(Verdict::Void(reason)) => {
+            HttpResponse::Conflict().json(&json!({ "id": id, "verdict": "void", "reason": reason }))
+        }
+        Answer::Unavailable(reason) => {
+            // An earlier attempt under the same id may still land.
+            let reason = reason.clone();
+            let refusal = Refusal::may_have_run(Code::StaleNews, Remedy::AnotherHost, reason);
+            answer::refuse(None, &refusal)
+        }
+        Answer::Verdict(Verdict::Forgotten) => HttpResponse::Conflict().json(&json!({
+            "id": id,
+            "verdict": "forgotten",
+            "reason": "the id's verdict is no longer known: look at the environment itself",
+        })),
+        Answer::Unknown => HttpResponse::Accepted().json(&json!({
+            "id": id,
+            "verdict": "unknown",
+            "reason": "send it again with the same id to learn the verdict",
+        })),
+    }
 }
