--- /dev/null
+++ b/tests/integration/failure.rs
@@ -0,0 +1,230 @@
+//! Daemons that die, connections that fall silent, callers that read slowly or half-close.
+
+use std::{
+    cell::RefCell,
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        Shutdown,
+        SocketAddr,
+        TcpStream, //
+    },
+    rc::Rc,
+    sync::atomic::Ordering,
+    thread,
+    time::Duration,
+};
+
+use ntex::{
+    rt,
+    time::sleep, //
+};
+use teaselchute::options::config::Limits;
+
+use crate::{
+    run,
+    stand_ins::{
+        caller::{
+            Caller,
+            Outcome, //
+        },
+        cluster::{
+            CREDENTIAL,
+            Cluster, //
+        },
+        server::{
+            Pace,
+            whole_answer, //
+        },
+    },
+};
+
+/// Slow enough that a failure comes in the middle.
+const SLOW: Pace = Pace {
+    call_ms: 20,
+    pieces: 25,
+    piece_ms: 20,
+};
+
+const ASKS: usize = 18;
+
+const ORDERS: usize = 12;
+
+type Ends = Rc<RefCell<Vec<(String, Outcome)>>>;
+
+/// Callers in the middle of streams and orders.
+struct Callers {
+    tasks: Vec<rt::JoinHandle<()>>,
+    asks: Ends,
+    orders: Ends,
+}
+
+impl Callers {
+    fn spawn(addresses: &[SocketAddr]) -> Self {
+        let (asks, orders) = (Ends::default(), Ends::default());
+        let mut tasks = Vec::new();
+        for number in 0..ASKS + ORDERS {
+            let mut known = addresses.to_vec();
+            known.rotate_left(number % addresses.len());
+            let (asks, orders) = (asks.clone(), orders.clone());
+            tasks.push(rt::spawn(async move {
+                let caller = Caller::new(known, "sorters", CREDENTIAL).await;
+                if number < ASKS {
+                    let id = format!("ask-{number}");
+                    let outcome = caller.ask("notes", &id, r#"{"prompt":"lot"}"#).await;
+                    asks.borrow_mut().push((id, outcome));
+                } else {
+                    let own_id = format!("order-{number}");
+                    let ended = caller.order("orders", &own_id, r#"{"hides":1}"#).await;
+                    orders.borrow_mut().push(ended);
+                }
+            }));
+        }
+        Self {
+            tasks,
+            asks,
+            orders,
+        }
+    }
+
+    /// Waits for all, and checks that each has its whole answer or a true word.
+    async fn check(self, cluster: &Cluster) {
+        for task in self.tasks {
+            task.await.expect("no caller panics");
+        }
+        for (id, outcome) in self.asks.take() {
+            let whole = whole_answer(&id, SLOW.pieces);
+            assert_eq!(outcome, Outcome::Answer(whole), "{id}");
+        }
+        let ran = cluster.orders();
+        assert!(ran.values().all(|count| *count == 1), "{ran:?}");
+        for (id, outcome) in self.orders.take() {
+            let has_run = ran.contains_key(&id);
+            match outcome {
+                Outcome::Answer(_) => assert!(has_run, "{id} was answered and never ran"),
+                Outcome::NotRun(why) => assert!(!has_run, "{id} ran, and not by word: {why}"),
+                Outcome::MayHaveRun(_) => {}
+                Outcome::Nothing => panic!("{id} got no word"),
+            }
+        }
+    }
+}
+
+#[test]
+fn stop_abruptly_one_of_three() {
+    run(async {
+        let cluster = Cluster::start(SLOW, Limits::default()).await;
+        let callers = Callers::spawn(&cluster.addresses());
+        sleep(Duration::from_millis(250)).await;
+        let killed = cluster.daemons[2].clone();
+        let stopping = thread::spawn(move || killed.stop_abruptly());
+        callers.check(&cluster).await;
+        stopping.join().expect("the daemon stops");
+        let address = cluster.daemons[2].addresses().http;
+        assert!(
+            TcpStream::connect(address).is_err(),
+            "its sockets are closed"
+        );
+    });
+}
+
+#[test]
+fn connections_silent_to_servers() {
+    run(async {
+        let limits = Limits {
+            progress_timeout_ms: 500,
+            ..Limits::default()
+        };
+        let cluster = Cluster::start_behind(SLOW, limits, &["engines", "orders"]).await;
+        let callers = Callers::spawn(&cluster.addresses());
+        sleep(Duration::from_millis(250)).await;
+        cluster.proxies.iter().for_each(|proxy| proxy.silence());
+        callers.check(&cluster).await;
+        let silenced = cluster.proxies.iter();
+        let silenced: u64 = silenced
+            .map(|proxy| proxy.silenced.load(Ordering::SeqCst))
+            .sum();
+        assert!(silenced > 0, "connections were open when they fell silent");
+    });
+}
+
+fn request(path: &str, id: &str, extra: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: entry\r\nx-organisation: sorters\r\n\
+         authorization: Bearer {CREDENTIAL}\r\nx-request-id: {id}\r\n{extra}\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Reads a stream a few bytes at a time until its end event, its connection's end or silence.
+fn read_slowly(address: SocketAddr, id: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("the host listens");
+    let timeout = Duration::from_secs(10);
+    stream
+        .set_read_timeout(Some(timeout))
+        .expect("a timeout can be set");
+    let path = "/v1/pipelines/notes/requests";
+    let text = request(
+        path,
+        id,
+        "accept: text/event-stream\r\n",
+        r#"{"prompt":"lot"}"#,
+    );
+    stream
+        .write_all(text.as_bytes())
+        .expect("the request is sent");
+    let mut got = Vec::new();
+    let mut buffer = [0; 64];
+    while let Ok(length) = stream.read(&mut buffer) {
+        if length == 0 {
+            break;
+        }
+        got.extend_from_slice(&buffer[..length]);
+        if got.ends_with(b"0\r\n\r\n") {
+            break;
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    String::from_utf8_lossy(&got).into_owned()
+}
+
+#[test]
+fn callers_slow_and_half_closed() {
+    run(async {
+        let cluster = Cluster::start(SLOW, Limits::default()).await;
+        let address = cluster.addresses()[0];
+        let slow = thread::spawn(move || read_slowly(address, "slow-1"));
+        let half = thread::spawn(move || {
+            let mut stream = TcpStream::connect(address).expect("the host listens");
+            let path = "/v1/pipelines/notes/requests";
+            let text = request(path, "half-1", "", r#"{"prompt":"lot"}"#);
+            stream
+                .write_all(text.as_bytes())
+                .expect("the request is sent");
+            stream.shutdown(Shutdown::Write).expect("half is closed");
+            let mut got = Vec::new();
+            let _ = stream.read_to_end(&mut got);
+        });
+        let caller = Caller::new(cluster.addresses(), "sorters", CREDENTIAL).await;
+        let whole = |id: &str| Outcome::Answer(whole_answer(id, SLOW.pieces));
+        let body = r#"{"prompt":"lot"}"#;
+        assert_eq!(caller.ask("notes", "other-1", body).await, whole("other-1"));
+        while !half.is_finished() || !slow.is_finished() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        half.join().expect("the half-closed caller ends");
+        // Whatever became of the half-closed connection, the id has its whole answer.
+        assert_eq!(caller.ask("notes", "half-1", body).await, whole("half-1"));
+        let got = slow.join().expect("the slow caller ends");
+        for index in 0..SLOW.pieces {
+            assert!(
+                got.contains(&format!("id: {index}\n")),
+                "piece {index} is there"
+            );
+        }
+        assert!(got.contains("event: end\n"), "the end is seen");
+    });
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,10 @@
 #[path = "../stand_ins/mod.rs"]
 mod stand_ins;
 
+mod binaries;
+mod failure;
+mod hostile;
+mod operators;
 mod path;
 
 /// Runs a test's future with a runtime of its own.
--- a/tests/stand_ins/cluster.rs
+++ b/tests/stand_ins/cluster.rs
@@ -52,6 +52,7 @@
         Hosts,
         Log, //
     },
+    proxy::Proxy,
     server::{
         Pace,
         Server, //
@@ -91,6 +92,8 @@
     pub stand_ins: Arc<StandIns>,
     /// All backend servers.
     pub servers: Vec<Arc<Server>>,
+    /// Proxies before the servers of the pools that were named for it.
+    pub proxies: Vec<Arc<Proxy>>,
     platform: Platform,
     document: Value,
     limits: Limits,
@@ -104,6 +107,11 @@
 impl Cluster {
     /// Starts stand-ins and daemons, and publishes the document.
     pub async fn start(pace: Pace, limits: Limits) -> Self {
+        Self::start_behind(pace, limits, &[]).await
+    }
+
+    /// Starts all with a proxy before each server of some pools.
+    pub async fn start_behind(pace: Pace, limits: Limits, proxied: &[&str]) -> Self {
         let mut parts = Vec::new();
         let mut add = |stand_in| {
             let (listener, address) = free_port();
@@ -116,6 +124,8 @@
             weight_store: add(StandIn::Weights),
         };
         let mut servers = Vec::new();
+        let mut proxies = Vec::new();
+        let mut proxied_servers = Vec::new();
         let mut pools = json!({});
         for (pool, kind, count) in POOLS {
             pools[pool] = pool_json(kind);
@@ -123,18 +133,25 @@
                 for number in 0..count {
                     let name = format!("{pool}-{data_centre}-{number}");
                     let server = Arc::new(Server::new(name.clone(), kind, data_centre, pace));
-                    let address = add(StandIn::Server(server.clone()));
+                    let mut address = add(StandIn::Server(server.clone()));
+                    if proxied.contains(&pool) {
+                        let proxy = Proxy::spawn(address);
+                        address = proxy.address;
+                        proxied_servers.push((address.port(), server.clone()));
+                        proxies.push(proxy);
+                    }
                     servers.push(server);
                     pools[pool]["servers"][&name] =
                         json!({ "address": address, "data_centre": data_centre });
                 }
             }
         }
-        let stand_ins = StandIns::spawn(parts);
+        let stand_ins = StandIns::spawn(parts, proxied_servers);
         let mut cluster = Self {
             daemons: Vec::new(),
             stand_ins,
             servers,
+            proxies,
             platform,
             document: document(pools),
             limits,
@@ -309,7 +326,7 @@
             "notes": { "stages": stages, "deadline_ms": 15_000, "late_answer_wanted": true },
         },
         "services": {
-            "orders": { "pool": "orders", "idempotent": false, "deadline_ms": 10_000 },
+            "orders": { "pool": "orders", "idempotent": false, "deadline_ms": 5_000 },
         },
         "organisations": {
             "sorters": {
--- a/tests/stand_ins/mod.rs
+++ b/tests/stand_ins/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod platform;
+pub mod proxy;
 pub mod server;
 
 use std::{
@@ -60,9 +61,16 @@
 }
 
 impl StandIns {
-    /// Serves stand-ins at their ports, for as long as the program runs.
-    pub fn spawn(parts: Vec<(TcpListener, StandIn)>) -> Arc<Self> {
-        let mut by_port = BTreeMap::new();
+    /// Serves stand-ins at their ports, for as long as the program runs. Requests that came through
+    /// a proxy name its port.
+    pub fn spawn(
+        parts: Vec<(TcpListener, StandIn)>,
+        proxied: Vec<(u16, Arc<server::Server>)>,
+    ) -> Arc<Self> {
+        let proxied = proxied.into_iter();
+        let mut by_port: BTreeMap<_, _> = proxied
+            .map(|(port, server)| (port, StandIn::Server(server)))
+            .collect();
         let mut listeners = Vec::new();
         for (listener, stand_in) in parts {
             let address = listener
