Serve on while addresses are kept, and keep orders whole for all who ask

Cause: the ledger had its own time for kept addresses; it now uses address::linger_ms. An order asked with resume_from would have kept an answer without its first pieces. Node::left sums up what keeps a leaving host from stopping.

--- a/examples/driver/mod.rs
+++ b/examples/driver/mod.rs
@@ -258,7 +258,10 @@
     /// Pauses a process: its events wait until it wakes.
     pub fn pause(&mut self, process: Process, for_ms: u64) {
         self.count("pause");
-        self.slots[process].paused_until = self.now.after_ms(for_ms);
+        let until = self.now.after_ms(for_ms);
+        let slot = &mut self.slots[process];
+        // A second pause doesn't end the first one, whose events wait for its end.
+        slot.paused_until = slot.paused_until.max(until);
     }
 
     /// Crashes a process: all events for this life are dropped.
--- a/examples/measure/ledgers/callers.rs
+++ b/examples/measure/ledgers/callers.rs
@@ -4,6 +4,7 @@
 
 use teaselchute::{
     core::{
+        address,
         call::{
             Body,
             Request, //
@@ -39,9 +40,6 @@
 };
 use crate::driver::Process;
 
-/// Time for which a caller keeps an address, in milliseconds.
-pub const ADDRESS_KEEP_MS: u64 = 10_000;
-
 /// Time after which a patient caller asks elsewhere, in milliseconds.
 const PATIENCE_MS: u64 = 7_000;
 
@@ -306,7 +304,7 @@
         let address = Address {
             host,
             ticket: self.ticket(issuer, &home),
-            until: now.after_ms(ADDRESS_KEEP_MS),
+            until: now.after_ms(address::KEEP_MS),
         };
         self.callers.addresses[caller] = Some(address.clone());
         Some(address)
--- a/examples/measure/ledgers/faults.rs
+++ b/examples/measure/ledgers/faults.rs
@@ -1,9 +1,10 @@
 //! Faults of a run: crashes, pauses, cuts, outages of the claim log, restarts and rolling restarts.
 
+use teaselchute::core::address;
+
 use super::{
     Event as Happening,
-    Run,
-    callers, //
+    Run, //
 };
 use crate::driver::{
     Place,
@@ -155,7 +156,7 @@
         let waited_ms = self.driver.now().since_ms(since);
         let ledger = self.hosts[host].ledger.as_ref();
         let idle = ledger.is_none_or(|ledger| ledger.is_idle());
-        let served = waited_ms >= callers::ADDRESS_KEEP_MS + 1_000 && idle;
+        let served = waited_ms > address::linger_ms() && idle;
         if !served && waited_ms < self.plan.leave_ms {
             return self.later(LOOK_MS, Event::Left(host, life));
         }
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -229,6 +229,18 @@
         self.ledgers.iter().all(|ledger| ledger.lock().is_idle())
     }
 
+    /// Returns what keeps a leaving host from stopping, over all shards.
+    pub fn left(&self) -> outcome::ledger::Left {
+        let mut sum = outcome::ledger::Left::default();
+        for ledger in &self.ledgers {
+            let left = ledger.lock().left();
+            sum.running += left.running;
+            sum.elsewhere += left.elsewhere;
+            sum.copies += left.copies;
+        }
+        sum
+    }
+
     /// Returns the shard of requests that an event goes to, where it goes to one alone.
     ///
     /// Whoever steps from several threads uses it to hand on what a caller gets in its order.
--- a/src/core/outcome/ledger/mod.rs
+++ b/src/core/outcome/ledger/mod.rs
@@ -23,6 +23,7 @@
 };
 use crate::{
     core::{
+        address,
         call::{
             self,
             Request, //
@@ -53,9 +54,6 @@
 use keep::Copies;
 use run::Running;
 
-/// Time for which callers may keep an address, in milliseconds: a leaving host serves that long.
-pub const ADDRESS_KEEP_MS: u64 = 10_000;
-
 /// Time between two looks for answers that are too old to keep, in milliseconds.
 const EXPIRE_EVERY_MS: u64 = 1_000;
 
@@ -388,7 +386,8 @@
             return Some(refusal);
         }
         let leaving_ms = cx.now.since_ms(self.leaving_since?);
-        if leaving_ms < ADDRESS_KEEP_MS {
+        // Callers hold addresses that were given out before.
+        if leaving_ms < address::linger_ms() {
             return None;
         }
         let detail = format!("this host has been leaving for {leaving_ms} ms");
--- a/src/core/outcome/ledger/order.rs
+++ b/src/core/outcome/ledger/order.rs
@@ -1,7 +1,6 @@
 //! Non-idempotent requests at their home, and the witness's side of them.
 
 use super::{
-    ADDRESS_KEEP_MS,
     Context,
     Ledger,
     Policy,
@@ -16,6 +15,7 @@
 };
 use crate::{
     core::{
+        address,
         call::Request,
         decision::{
             Kind,
@@ -347,4 +347,5 @@
 }
 
 // A ticket must live at least as long as the address that came with it.
-const _: () = assert!(ADDRESS_KEEP_MS < ticket::GENERATION_MS * (ticket::START_GENERATIONS - 1));
+const _: () =
+    assert!(address::linger_ms() < ticket::GENERATION_MS * (ticket::START_GENERATIONS - 1));
--- a/src/core/outcome/ledger/run.rs
+++ b/src/core/outcome/ledger/run.rs
@@ -165,7 +165,8 @@
         let running = Running {
             deadline: cx.now.after_ms(plan.deadline_ms),
             state: State::Resting(cx.now),
-            base: ask.resume_from,
+            // An order's answer is kept whole for all who ask.
+            base: if plan.idempotent { ask.resume_from } else { 0 },
             ask,
             digest,
             plan,
--- a/tests/core/outcome/leaving.rs
+++ b/tests/core/outcome/leaving.rs
@@ -1,10 +1,10 @@
 //! Tests of a graceful shutdown.
 
 use teaselchute::core::{
+    address,
     outcome::{
         Caller,
-        Event,
-        ledger::ADDRESS_KEEP_MS, //
+        Event, //
     },
     refusal::{
         Code,
@@ -25,7 +25,7 @@
 fn leaving_serves_while_addresses_are_kept() {
     let mut bench = Bench::new(3);
     leave(&mut bench, 0);
-    bench.pass(ADDRESS_KEEP_MS - 100);
+    bench.pass(address::linger_ms() - 100);
     bench.ask(0, 1, &chat());
     assert_eq!(bench.offers.len(), 1);
     bench.pass(200);
@@ -45,7 +45,7 @@
     let mut bench = Bench::new(3);
     let ticket = bench.ticket(0);
     leave(&mut bench, 0);
-    bench.pass(ADDRESS_KEEP_MS + 100);
+    bench.pass(address::linger_ms() + 100);
     bench.ask(0, 1, &order(&ticket));
     assert_eq!(bench.refusal(1).run, Run::NotRun);
     assert_eq!(bench.refusal(1).remedy, Remedy::NewId);
--- a/tests/core/outcome/orders.rs
+++ b/tests/core/outcome/orders.rs
@@ -136,6 +136,25 @@
     assert!(bench.offers.is_empty());
 }
 
+#[test]
+fn ask_resumed() {
+    let mut bench = Bench::new(3);
+    let ask = Ask {
+        resume_from: 1,
+        ..order(&bench.ticket(0))
+    };
+    bench.ask(0, 1, &ask);
+    assert_eq!(bench.offers[0].1.resume_from, 0);
+    bench.piece(0, "do");
+    bench.piece(1, "ne");
+    bench.end(answered(""));
+    // One caller has the first piece already, the other gets all that is kept.
+    assert_eq!(bench.pieces(1), [(1, "ne".into())]);
+    let whole = order(&bench.ticket(0));
+    bench.ask(0, 2, &whole);
+    assert_eq!(bench.answers(2), ["done"]);
+}
+
 #[test]
 fn ended_lost() {
     for end in [End::Lost, End::Failed, End::Cancelled] {
