--- a/src/bin/teaselchute/args.rs
+++ b/src/bin/teaselchute/args.rs
@@ -26,6 +26,7 @@
   why ORGANISATION/ID       show each decision about a request and its reason
   hosts                     show the entry hosts
   servers                   show the backend servers
+  digest FILE               print the digest of the credential in a file
 
 `teaselchute SUBCOMMAND --help` shows the options of a subcommand.
 
@@ -59,6 +60,8 @@
     Hosts,
     /// Show backend servers.
     Servers,
+    /// Print the digest of a credential.
+    Digest(PathBuf),
 }
 
 /// A whole command.
@@ -175,6 +178,7 @@
         "why" => "why ORGANISATION/ID",
         "hosts" => "hosts",
         "servers" => "servers",
+        "digest" => "digest FILE",
         _ => "SUBCOMMAND",
     }
 }
@@ -193,6 +197,7 @@
         ("why", [subject]) => Action::Why(subject.clone()),
         ("hosts", []) => Action::Hosts,
         ("servers", []) => Action::Servers,
+        ("digest", [file]) => Action::Digest(file.into()),
         _ => return None,
     };
     Some(action)
--- a/src/bin/teaselchute/commands.rs
+++ b/src/bin/teaselchute/commands.rs
@@ -33,12 +33,14 @@
 
 /// Runs a command and returns its exit code.
 pub async fn run(command: Command) -> anyhow::Result<u8> {
-    if let Action::Check(file) = &command.action {
-        return check(file, command.json);
+    match &command.action {
+        Action::Check(file) => return check(file, command.json),
+        Action::Digest(file) => return digest(file),
+        _ => {}
     }
     let client = Client::open(&command).await?;
     match &command.action {
-        Action::Check(_) => unreachable!("checked before"),
+        Action::Check(_) | Action::Digest(_) => unreachable!("done without a host"),
         Action::Try(environment, file) => try_document(&client, &command, environment, file).await,
         Action::Promote(from, to) => promote(&client, &command, from, to).await,
         Action::Diff(from, to) => diff(&client, &command, from, to).await,
@@ -98,6 +100,12 @@
     Ok(0)
 }
 
+/// Prints what settings and documents hold in place of a credential.
+fn digest(file: &Path) -> anyhow::Result<u8> {
+    println!("{}", blake3::hash(read(file)?.trim().as_bytes()));
+    Ok(0)
+}
+
 /// An environment as a host has it: revision and document, 0 and empty where it isn't there.
 async fn environment(client: &Client, name: &str) -> anyhow::Result<(u64, Value)> {
     let path = format!("/v1/operator/environments/{name}/document");
--- a/tests/integration/binaries.rs
+++ b/tests/integration/binaries.rs
@@ -88,6 +88,7 @@
     let all = text(&program(CLI, &["--help"]).stdout);
     for name in [
         "check", "try", "promote", "diff", "status", "drain", "undrain", "why", "hosts", "servers",
+        "digest",
     ] {
         assert!(all.contains(name), "{name} is in {all}");
         let output = program(CLI, &[name, "--help"]);
@@ -96,6 +97,14 @@
     }
 }
 
+#[test]
+fn cli_digest() {
+    let path = file("credential", "sorters-secret\n");
+    let output = program(CLI, &["digest", &path]);
+    let digest = blake3::hash(b"sorters-secret").to_hex();
+    assert_eq!(text(&output.stdout).trim(), digest.as_str());
+}
+
 #[test]
 fn cli_wrong_subcommand() {
     assert_eq!(program(CLI, &["banish"]).status.code(), Some(2));
