--- a/src/core/routing/server.rs
+++ b/src/core/routing/server.rs
@@ -41,6 +41,9 @@
 /// Part of the failure rate that fades with each tick, as a divisor.
 const FAILURE_FADE: u32 = 64;
 
+/// Part of its part of a server's idle room that a host may use beyond its share, as a divisor.
+const LENT_DIVISOR: u32 = 2;
+
 /// Where a server stands as seen from this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -222,10 +225,10 @@
         // Each host lends itself its part of what is idle and keeps what it uses, so that all
         // together take little more than there is, though their reports are late.
         let idle = bounds.full - total;
-        let hosts = hosts.max(1);
-        let rest = u32::from(draw % hosts < idle % hosts);
+        let parts = (LENT_DIVISOR * hosts).max(1);
+        let rest = u32::from(draw % parts < idle % parts);
         let least = u32::from(2 * idle >= bounds.full);
-        let part = (idle / hosts + rest).max(least);
+        let part = (idle / parts + rest).max(least);
         self.lent = (excess + part).min(bounds.full);
     }
 
