--- /dev/null
+++ b/benches/placement.rs
@@ -0,0 +1,72 @@
+//! Time of one planning round at the two-year size: 2,300 servers and 22 models.
+
+use std::hint::black_box;
+
+use criterion::Criterion;
+use teaselchute::{
+    core::{
+        orders::Loaded,
+        placement::{
+            self,
+            Engine,
+            Want, //
+        },
+    },
+    names::Name,
+};
+
+const SERVERS: usize = 2_300;
+const MODELS: usize = 22;
+const GROUPS: usize = 6;
+
+fn wants(version: &str, replicas: u32) -> Vec<Want> {
+    let want = |index| Want {
+        model: Name::from(format!("model-{index}")),
+        version: Name::from(version),
+        adapters: Vec::new(),
+        memory_mb: 35_000,
+        weights_mb: 30_000,
+        replicas,
+        pinned: Vec::new(),
+        forbidden: Vec::new(),
+    };
+    (0..MODELS).map(want).collect()
+}
+
+fn engines(count: usize) -> Vec<Engine> {
+    let engine = |index: usize| Engine {
+        server: Name::from(format!("engine-{index}")),
+        memory_mb: 80_000,
+        loaded: vec![Loaded {
+            model: Name::from(format!("model-{}", index % MODELS)),
+            version: Name::from("v1"),
+            adapters: Vec::new(),
+            ready: true,
+        }],
+    };
+    (0..count).map(engine).collect()
+}
+
+fn rounds(criterion: &mut Criterion) {
+    let all = engines(SERVERS);
+    let fitting = wants("v1", 100);
+    let rollout = wants("v2", 100);
+    let group = engines(SERVERS / GROUPS);
+    let mut one_change = wants("v1", 17);
+    one_change[7].version = Name::from("v2");
+    criterion.bench_function("placement 2300 servers fitting", |bench| {
+        bench.iter(|| placement::steps(black_box(&all), black_box(&fitting)));
+    });
+    criterion.bench_function("placement 2300 servers rollout of all models", |bench| {
+        bench.iter(|| placement::steps(black_box(&all), black_box(&rollout)));
+    });
+    criterion.bench_function("placement one group after one change", |bench| {
+        bench.iter(|| placement::steps(black_box(&group), black_box(&one_change)));
+    });
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    rounds(&mut criterion);
+    criterion.final_summary();
+}
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -43,6 +43,7 @@
 };
 
 mod control;
+mod demand;
 
 pub use control::Control;
 
@@ -186,6 +187,7 @@
     board: Arc<routing::Board>,
     pools: RwLock<BTreeMap<Name, Arc<Mutex<routing::Pool>>>>,
     ledgers: Vec<Mutex<outcome::ledger::Ledger>>,
+    demand: demand::Meter,
 }
 
 impl Node {
@@ -206,6 +208,7 @@
             board: Arc::new(routing::Board::default()),
             pools: RwLock::new(BTreeMap::new()),
             ledgers,
+            demand: demand::Meter::default(),
         }
     }
 
@@ -296,6 +299,7 @@
                 start,
                 end,
             } => {
+                self.demand.ended(now, call);
                 let ended = routing::Event::Ended {
                     call,
                     server: server.clone(),
@@ -312,6 +316,9 @@
 
     fn tick(&self, now: Instant, out: &mut Vec<Action>) {
         self.control(now, control::Event::Tick, out);
+        for event in self.demand.report(now) {
+            self.control(now, control::Event::Engine(event), out);
+        }
         self.board.observe(now, &self.view());
         let pools: Vec<Name> = self.pools.read().keys().cloned().collect();
         for pool in &pools {
@@ -402,10 +409,13 @@
         let actions = pool.lock().step(now, &view, event);
         for action in actions {
             match action {
-                routing::Action::Send { call, server } => out.push(Action::Send {
-                    call: Box::new(call),
-                    server,
-                }),
+                routing::Action::Send { call, server } => {
+                    self.demand.sent(now, &call);
+                    out.push(Action::Send {
+                        call: Box::new(call),
+                        server,
+                    });
+                }
                 routing::Action::Abort { call, server } => out.push(Action::Abort {
                     call,
                     pool: name.clone(),
