--- a/src/core/outcome/ledger/mod.rs
+++ b/src/core/outcome/ledger/mod.rs
@@ -46,9 +46,12 @@
 };
 
 mod elsewhere;
+mod finish;
 mod keep;
 mod order;
+mod retry;
 mod run;
+mod stream;
 
 use elsewhere::Elsewhere;
 use keep::Copies;
--- /dev/null
+++ b/src/core/outcome/ledger/retry.rs
@@ -0,0 +1,254 @@
+//! Ends of calls: the next stage, another attempt, or none.
+
+use super::{
+    Context,
+    Ledger,
+    run::State, //
+};
+use crate::{
+    core::{
+        call::{
+            self,
+            Body,
+            End,
+            Request, //
+        },
+        decision::{
+            Kind,
+            value, //
+        },
+        outcome::{
+            Action, Verdict,
+            answers::{
+                Answer,
+                Class,
+                Content, //
+            },
+        },
+        refusal::{
+            Code,
+            Refusal,
+            Remedy,
+            Run, //
+        },
+    },
+    names::Name, //
+};
+
+/// Attempts at one stage of a request.
+const MAX_ATTEMPTS: u32 = 5;
+
+/// Time before a second retry, doubled with each further one, in milliseconds.
+const RETRY_BASE_MS: u64 = 20;
+
+/// Time in which a cancelled call has to end, in milliseconds.
+const CANCEL_MS: u64 = 1_000;
+
+impl Ledger {
+    pub(super) fn ended(&mut self, cx: &mut Context<'_>, call: call::Id, server: Name, end: End) {
+        let Some(request) = self.expected(call) else {
+            return;
+        };
+        self.by_call.remove(&call);
+        let Some(running) = self.running.get_mut(&request) else {
+            return;
+        };
+        match end {
+            End::Answered(body) => self.answered(cx, &request, body),
+            End::Refused | End::NotSent => {
+                self.retry(cx, &request, Some(server), Code::NoServer);
+            }
+            End::Failed => {
+                running.began = true;
+                self.retry(cx, &request, Some(server), Code::ServerFailed);
+            }
+            End::Lost | End::Cancelled => {
+                running.began = true;
+                self.retry(cx, &request, Some(server), Code::AnswerLost);
+            }
+        }
+    }
+
+    fn answered(&mut self, cx: &mut Context<'_>, request: &Request, body: Body) {
+        let Some(running) = self.running.get_mut(request) else {
+            return;
+        };
+        running.began = true;
+        if running.torn {
+            let detail = "a piece of the answer was lost";
+            let refusal = Refusal::may_have_run(Code::AnswerLost, Remedy::None, detail);
+            return self.finish(cx, request, Verdict::Refused(refusal));
+        }
+        let pieces = std::mem::take(&mut running.pieces);
+        let answer = Answer { pieces, body };
+        if running.is_final() {
+            return self.finish(cx, request, Verdict::Ran(answer));
+        }
+        let result = answer.joined();
+        let index = running.stage;
+        let digest = running.digest;
+        running.stage += 1;
+        running.previous = Some(result.clone());
+        running.attempt = 0;
+        running.avoid.clear();
+        let content = Content::Stage {
+            index,
+            body: result,
+        };
+        self.keep_own(cx, request, None, Class::Stage, digest, content);
+        self.offer(cx, request);
+    }
+
+    /// Repeats the stage on another server, or refuses the request where that isn't allowed.
+    pub(super) fn retry(
+        &mut self,
+        cx: &mut Context<'_>,
+        request: &Request,
+        server: Option<Name>,
+        code: Code,
+    ) {
+        let Some(running) = self.running.get_mut(request) else {
+            return;
+        };
+        running.attempt += 1;
+        if let Some(server) = server
+            && !running.avoid.contains(&server)
+        {
+            running.avoid.push(server);
+        }
+        let may_repeat = running.plan.idempotent || !running.began;
+        let in_time = running.plan.late_answer_wanted || cx.now < running.deadline;
+        let attempts_left = running.attempt < MAX_ATTEMPTS;
+        let values = vec![
+            value("attempt", running.attempt),
+            value("attempts_limit", MAX_ATTEMPTS),
+            value("left_ms", running.deadline.since_ms(cx.now)),
+            value("may_repeat", i64::from(may_repeat)),
+        ];
+        if may_repeat && in_time && attempts_left {
+            self.counters.retries += 1;
+            cx.decide(Kind::Retry, request, code_word(code), "repeat", values);
+            let doublings = running.attempt.saturating_sub(2);
+            let rest_ms = RETRY_BASE_MS << doublings;
+            if running.attempt > 1 {
+                running.state = State::Resting(cx.now.after_ms(rest_ms));
+            } else {
+                self.offer(cx, request);
+            }
+            return;
+        }
+        cx.decide(Kind::Retry, request, code_word(code), "give_up", values);
+        let detail = format!(
+            "attempt {} of {MAX_ATTEMPTS} ended without an answer",
+            running.attempt
+        );
+        let remedy = match (running.plan.idempotent, running.began) {
+            (true, _) => Remedy::Wait,
+            (false, false) => Remedy::NewId,
+            (false, true) => Remedy::None,
+        };
+        let refusal = running.refusal(code, remedy, detail);
+        self.finish(cx, request, Verdict::Refused(refusal));
+    }
+
+    pub(super) fn pool_refused(
+        &mut self,
+        cx: &mut Context<'_>,
+        call: call::Id,
+        mut refusal: Refusal,
+    ) {
+        let Some(request) = self.expected(call) else {
+            return;
+        };
+        self.by_call.remove(&call);
+        let Some(running) = self.running.get_mut(&request) else {
+            return;
+        };
+        if running.began {
+            // The pool knows only of its own call; an earlier stage or attempt may have run.
+            refusal.run = Run::MayHaveRun;
+        }
+        if !running.plan.idempotent && refusal.remedy != Remedy::ChangeRequest {
+            // This id is spent: its word stands.
+            refusal.remedy = match refusal.run {
+                Run::NotRun => Remedy::NewId,
+                Run::MayHaveRun => Remedy::None,
+            };
+        }
+        self.finish(cx, &request, Verdict::Refused(refusal));
+    }
+
+    pub(super) fn tick_running(&mut self, cx: &mut Context<'_>) {
+        let requests: Vec<Request> = self.running.keys().cloned().collect();
+        for request in &requests {
+            self.tick_request(cx, request);
+        }
+    }
+
+    fn tick_request(&mut self, cx: &mut Context<'_>, request: &Request) {
+        let Some(running) = self.running.get(request) else {
+            return;
+        };
+        let plan = &running.plan;
+        if plan.idempotent && !plan.late_answer_wanted && cx.now >= running.deadline {
+            return self.too_late(cx, request);
+        }
+        match &running.state {
+            State::Preparing(_) => self.tick_preparing(cx, request),
+            State::Looking { until, .. } | State::Resting(until) if cx.now >= *until => {
+                self.offer(cx, request);
+            }
+            State::Called { silent_at, .. } if cx.now >= *silent_at => self.silent(cx, request),
+            State::Cancelling { call, until } if cx.now >= *until => {
+                let call = *call;
+                self.by_call.remove(&call);
+                if let Some(running) = self.running.get_mut(request) {
+                    running.began = true;
+                }
+                self.retry(cx, request, None, Code::AnswerLost);
+            }
+            _ => {}
+        }
+    }
+
+    fn too_late(&mut self, cx: &mut Context<'_>, request: &Request) {
+        self.abandon(cx, request);
+        let Some(running) = self.running.get(request) else {
+            return;
+        };
+        let detail = format!("no answer within {} ms", running.plan.deadline_ms);
+        let refusal = running.refusal(Code::Deadline, Remedy::Wait, detail);
+        self.finish(cx, request, Verdict::Refused(refusal));
+    }
+
+    /// Cancels a call that makes no progress.
+    fn silent(&mut self, cx: &mut Context<'_>, request: &Request) {
+        self.counters.silent += 1;
+        let Some(running) = self.running.get_mut(request) else {
+            return;
+        };
+        let Some(call) = running.called() else {
+            return;
+        };
+        let pool = running.pool().clone();
+        cx.decide(Kind::Retry, request, "silent", "cancel", Vec::new());
+        if running.plan.idempotent {
+            self.abandon(cx, request);
+            return self.retry(cx, request, None, Code::AnswerLost);
+        }
+        // The pool may still say that the call was never sent.
+        running.state = State::Cancelling {
+            call,
+            until: cx.now.after_ms(CANCEL_MS),
+        };
+        cx.out.push(Action::Cancel { call, pool });
+    }
+}
+
+fn code_word(code: Code) -> &'static str {
+    match code {
+        Code::NoServer => "refused_by_server",
+        Code::ServerFailed => "server_failed",
+        _ => "answer_lost",
+    }
+}
--- a/src/core/outcome/ledger/run.rs
+++ b/src/core/outcome/ledger/run.rs
@@ -3,9 +3,7 @@
 use super::{
     Context,
     Ledger,
-    Waiter,
-    Who,
-    home, //
+    Waiter, //
 };
 use crate::{
     core::{
@@ -13,7 +11,6 @@
             self,
             Body,
             Call,
-            End,
             Request, //
         },
         decision::{
@@ -24,14 +21,10 @@
         outcome::{
             Action,
             Ask,
-            Caller,
-            Copy,
             Message,
             Standing,
             Verdict,
             answers::{
-                Answer,
-                Class,
                 Content,
                 Digest, //
             },
@@ -40,30 +33,20 @@
         refusal::{
             Code,
             Refusal,
-            Remedy,
-            Run, //
+            Remedy, //
         },
-        view::View,
+        view::View, //
     },
     names::Name,
-    time::Instant,
+    time::Instant, //
 };
 
-/// Attempts at one stage of a request.
-const MAX_ATTEMPTS: u32 = 5;
-
-/// Time before a second retry, doubled with each further one, in milliseconds.
-const RETRY_BASE_MS: u64 = 20;
-
 /// Time for which keepers are asked for the results of an earlier try, in milliseconds.
 const LOOK_MS: u64 = 150;
 
 /// Time in which a call may run whose pool isn't known any more, in milliseconds.
 const DEFAULT_CALL_TIMEOUT_MS: u64 = 30_000;
 
-/// Time in which a cancelled call has to end, in milliseconds.
-const CANCEL_MS: u64 = 1_000;
-
 /// What a request that runs does now.
 #[derive(Debug)]
 pub(super) enum State {
@@ -103,38 +86,38 @@
     pub(super) deadline: Instant,
     pub(super) state: State,
     pub(super) waiters: Vec<Waiter>,
-    stage: usize,
-    previous: Option<Body>,
+    pub(super) stage: usize,
+    pub(super) previous: Option<Body>,
     /// Index of the first of the pieces.
-    base: u64,
-    pieces: Vec<Body>,
+    pub(super) base: u64,
+    pub(super) pieces: Vec<Body>,
     /// Whether a piece of a stream that can't be asked for again is missing.
-    torn: bool,
-    attempt: u32,
-    avoid: Vec<Name>,
+    pub(super) torn: bool,
+    pub(super) attempt: u32,
+    pub(super) avoid: Vec<Name>,
     /// Whether a server may have worked for the request.
-    began: bool,
+    pub(super) began: bool,
 }
 
 impl Running {
-    fn is_final(&self) -> bool {
+    pub(super) fn is_final(&self) -> bool {
         self.stage + 1 == self.plan.stages.len()
     }
 
     /// Returns whether the request goes on when nobody waits for it.
-    fn outlives_callers(&self) -> bool {
+    pub(super) fn outlives_callers(&self) -> bool {
         !self.plan.idempotent || self.plan.late_answer_wanted
     }
 
-    fn next_piece(&self) -> u64 {
+    pub(super) fn next_piece(&self) -> u64 {
         self.base + self.pieces.len() as u64
     }
 
-    fn pool(&self) -> &Name {
+    pub(super) fn pool(&self) -> &Name {
         &self.plan.stages[self.stage].pool
     }
 
-    fn called(&self) -> Option<call::Id> {
+    pub(super) fn called(&self) -> Option<call::Id> {
         match self.state {
             State::Called { call, .. } | State::Cancelling { call, .. } => Some(call),
             _ => None,
@@ -142,7 +125,7 @@
     }
 
     /// Returns a refusal whose word on running is true for the whole request.
-    fn refusal(&self, code: Code, remedy: Remedy, detail: impl Into<Name>) -> Refusal {
+    pub(super) fn refusal(&self, code: Code, remedy: Remedy, detail: impl Into<Name>) -> Refusal {
         if self.began {
             Refusal::may_have_run(code, remedy, detail)
         } else {
@@ -318,44 +301,6 @@
         true
     }
 
-    /// Adds one more who waits for a request that runs.
-    pub(super) fn join(&mut self, cx: &mut Context<'_>, request: &Request, waiter: Waiter) {
-        let Some(running) = self.running.get_mut(request) else {
-            return;
-        };
-        cx.decide(Kind::Admission, request, "same_id", "joined", Vec::new());
-        if waiter.next < running.base {
-            // This run lacks the first pieces, so that it starts again for the one who wants them.
-            running.base = waiter.next;
-            running.pieces.clear();
-            running.waiters.push(waiter);
-            if running.is_final() && running.called().is_some() {
-                self.abandon(cx, request);
-                self.offer(cx, request);
-            }
-            return;
-        }
-        let known = running.waiters.iter_mut();
-        let known = known
-            .filter(|known| known.who == waiter.who)
-            .find(|_| matches!(waiter.who, Who::Host(_)));
-        if known.is_some() {
-            return;
-        }
-        let answer = Answer {
-            pieces: running.pieces.clone(),
-            body: Vec::new().into(),
-        };
-        let mut waiter = waiter;
-        if let Who::Caller(caller) = waiter.who
-            && running.is_final()
-        {
-            cx.pieces(caller, waiter.next, running.base, &answer);
-            waiter.next = waiter.next.max(running.next_piece());
-        }
-        running.waiters.push(waiter);
-    }
-
     /// Offers the request's next call to its pool.
     pub(super) fn offer(&mut self, cx: &mut Context<'_>, request: &Request) {
         let id = call::Id(self.calls * self.shards + self.shard);
@@ -403,7 +348,7 @@
     }
 
     /// Gives up the request's call, whose end isn't waited for.
-    fn abandon(&mut self, cx: &mut Context<'_>, request: &Request) {
+    pub(super) fn abandon(&mut self, cx: &mut Context<'_>, request: &Request) {
         let Some(running) = self.running.get_mut(request) else {
             return;
         };
@@ -418,374 +363,16 @@
     }
 
     /// Returns the request of a call that is expected to say something.
-    fn expected(&mut self, call: call::Id) -> Option<Request> {
+    pub(super) fn expected(&mut self, call: call::Id) -> Option<Request> {
         let request = self.by_call.get(&call).cloned();
         if request.is_none() {
             self.counters.late += 1;
         }
         request
     }
-
-    pub(super) fn piece(&mut self, cx: &mut Context<'_>, call: call::Id, index: u64, piece: Body) {
-        let Some(request) = self.expected(call) else {
-            return;
-        };
-        let Some(running) = self.running.get_mut(&request) else {
-            return;
-        };
-        running.began = true;
-        let is_final = running.is_final();
-        let base = if is_final { running.base } else { 0 };
-        let expected = base + running.pieces.len() as u64;
-        if index < expected {
-            self.counters.doubled += 1;
-            return;
-        }
-        if index > expected {
-            self.gap(cx, &request, expected, index);
-            return;
-        }
-        let timeout_ms = call_timeout_ms(cx.view, running.pool());
-        if let State::Called { silent_at, .. } = &mut running.state {
-            *silent_at = cx.now.after_ms(timeout_ms);
-        }
-        running.pieces.push(piece.clone());
-        if is_final {
-            deliver_piece(cx, &mut running.waiters, index, &piece);
-        }
-    }
-
-    /// Asks again from a missing piece on, where that is allowed.
-    fn gap(&mut self, cx: &mut Context<'_>, request: &Request, expected: u64, index: u64) {
-        self.counters.gaps += 1;
-        let Some(running) = self.running.get_mut(request) else {
-            return;
-        };
-        if !running.plan.idempotent {
-            running.torn = true;
-            return;
-        }
-        let values = vec![value("expected_piece", expected), value("piece", index)];
-        cx.decide(Kind::Retry, request, "missing_piece", "resume", values);
-        self.abandon(cx, request);
-        self.retry(cx, request, None, Code::AnswerLost);
-    }
-
-    pub(super) fn ended(&mut self, cx: &mut Context<'_>, call: call::Id, server: Name, end: End) {
-        let Some(request) = self.expected(call) else {
-            return;
-        };
-        self.by_call.remove(&call);
-        let Some(running) = self.running.get_mut(&request) else {
-            return;
-        };
-        match end {
-            End::Answered(body) => self.answered(cx, &request, body),
-            End::Refused | End::NotSent => {
-                self.retry(cx, &request, Some(server), Code::NoServer);
-            }
-            End::Failed => {
-                running.began = true;
-                self.retry(cx, &request, Some(server), Code::ServerFailed);
-            }
-            End::Lost | End::Cancelled => {
-                running.began = true;
-                self.retry(cx, &request, Some(server), Code::AnswerLost);
-            }
-        }
-    }
-
-    fn answered(&mut self, cx: &mut Context<'_>, request: &Request, body: Body) {
-        let Some(running) = self.running.get_mut(request) else {
-            return;
-        };
-        running.began = true;
-        if running.torn {
-            let detail = "a piece of the answer was lost";
-            let refusal = Refusal::may_have_run(Code::AnswerLost, Remedy::None, detail);
-            return self.finish(cx, request, Verdict::Refused(refusal));
-        }
-        let pieces = std::mem::take(&mut running.pieces);
-        let answer = Answer { pieces, body };
-        if running.is_final() {
-            return self.finish(cx, request, Verdict::Ran(answer));
-        }
-        let result = answer.joined();
-        let index = running.stage;
-        let digest = running.digest;
-        running.stage += 1;
-        running.previous = Some(result.clone());
-        running.attempt = 0;
-        running.avoid.clear();
-        let content = Content::Stage {
-            index,
-            body: result,
-        };
-        self.keep_own(cx, request, None, Class::Stage, digest, content);
-        self.offer(cx, request);
-    }
-
-    /// Repeats the stage on another server, or refuses the request where that isn't allowed.
-    fn retry(&mut self, cx: &mut Context<'_>, request: &Request, server: Option<Name>, code: Code) {
-        let Some(running) = self.running.get_mut(request) else {
-            return;
-        };
-        running.attempt += 1;
-        if let Some(server) = server
-            && !running.avoid.contains(&server)
-        {
-            running.avoid.push(server);
-        }
-        let may_repeat = running.plan.idempotent || !running.began;
-        let in_time = running.plan.late_answer_wanted || cx.now < running.deadline;
-        let attempts_left = running.attempt < MAX_ATTEMPTS;
-        let values = vec![
-            value("attempt", running.attempt),
-            value("attempts_limit", MAX_ATTEMPTS),
-            value("left_ms", running.deadline.since_ms(cx.now)),
-            value("may_repeat", i64::from(may_repeat)),
-        ];
-        if may_repeat && in_time && attempts_left {
-            self.counters.retries += 1;
-            cx.decide(Kind::Retry, request, code_word(code), "repeat", values);
-            let doublings = running.attempt.saturating_sub(2);
-            let rest_ms = RETRY_BASE_MS << doublings;
-            if running.attempt > 1 {
-                running.state = State::Resting(cx.now.after_ms(rest_ms));
-            } else {
-                self.offer(cx, request);
-            }
-            return;
-        }
-        cx.decide(Kind::Retry, request, code_word(code), "give_up", values);
-        let detail = format!(
-            "attempt {} of {MAX_ATTEMPTS} ended without an answer",
-            running.attempt
-        );
-        let remedy = match (running.plan.idempotent, running.began) {
-            (true, _) => Remedy::Wait,
-            (false, false) => Remedy::NewId,
-            (false, true) => Remedy::None,
-        };
-        let refusal = running.refusal(code, remedy, detail);
-        self.finish(cx, request, Verdict::Refused(refusal));
-    }
-
-    pub(super) fn pool_refused(
-        &mut self,
-        cx: &mut Context<'_>,
-        call: call::Id,
-        mut refusal: Refusal,
-    ) {
-        let Some(request) = self.expected(call) else {
-            return;
-        };
-        self.by_call.remove(&call);
-        let Some(running) = self.running.get_mut(&request) else {
-            return;
-        };
-        if running.began {
-            // The pool knows only of its own call; an earlier stage or attempt may have run.
-            refusal.run = Run::MayHaveRun;
-        }
-        if !running.plan.idempotent && refusal.remedy != Remedy::ChangeRequest {
-            // This id is spent: its word stands.
-            refusal.remedy = match refusal.run {
-                Run::NotRun => Remedy::NewId,
-                Run::MayHaveRun => Remedy::None,
-            };
-        }
-        self.finish(cx, &request, Verdict::Refused(refusal));
-    }
-
-    /// Ends a request for good.
-    pub(super) fn finish(&mut self, cx: &mut Context<'_>, request: &Request, verdict: Verdict) {
-        let Some(running) = self.running.remove(request) else {
-            return;
-        };
-        if let Some(call) = running.called() {
-            self.by_call.remove(&call);
-        }
-        let choice = match &verdict {
-            Verdict::Ran(_) => "ran",
-            Verdict::AnswerDropped => "answer_dropped",
-            Verdict::Refused(refusal) if refusal.run == Run::NotRun => "not_run",
-            Verdict::Refused(_) => "may_have_run",
-        };
-        let values = vec![
-            value("attempts", running.attempt + 1),
-            value("stage", running.stage),
-            value("left_ms", running.deadline.since_ms(cx.now)),
-        ];
-        cx.decide(Kind::Outcome, request, "end", choice, values);
-        for waiter in &running.waiters {
-            cx.deliver(request, waiter, running.base, &verdict);
-        }
-        if running.plan.idempotent {
-            self.finish_idempotent(cx, request, &running, verdict);
-        } else {
-            self.finish_once(cx, request, &running, verdict);
-        }
-    }
-
-    fn finish_idempotent(
-        &mut self,
-        cx: &mut Context<'_>,
-        request: &Request,
-        running: &Running,
-        verdict: Verdict,
-    ) {
-        // An answer without its first pieces is of no use to anybody else.
-        if let Verdict::Ran(answer) = verdict
-            && running.base == 0
-        {
-            let content = Content::Whole(answer);
-            self.keep_own(cx, request, None, Class::Answer, running.digest, content);
-        }
-    }
-
-    fn finish_once(
-        &mut self,
-        cx: &mut Context<'_>,
-        request: &Request,
-        running: &Running,
-        verdict: Verdict,
-    ) {
-        let ticket = running.ask.ticket.clone();
-        match verdict {
-            Verdict::Ran(answer) => {
-                self.home.end(cx.now, request, home::End::Ran);
-                let content = Content::Whole(answer);
-                self.keep_own(cx, request, ticket, Class::Order, running.digest, content);
-            }
-            Verdict::Refused(refusal) => {
-                let end = home::End::Refused(refusal.clone());
-                self.home.end(cx.now, request, end);
-                let copy = Copy {
-                    class: Class::Order,
-                    digest: running.digest,
-                    content: Content::Refused(refusal),
-                };
-                self.copy(cx, request, ticket, copy);
-            }
-            Verdict::AnswerDropped => unreachable!("a request that runs has its answer"),
-        }
-    }
-
-    pub(super) fn caller_gone(&mut self, cx: &mut Context<'_>, caller: Caller) {
-        let who = Who::Caller(caller);
-        let waits = |waiters: &[Waiter]| waiters.iter().any(|waiter| waiter.who == who);
-        let mut unwanted = Vec::new();
-        for (request, running) in &mut self.running {
-            if !waits(&running.waiters) {
-                continue;
-            }
-            running.waiters.retain(|waiter| waiter.who != who);
-            if running.waiters.is_empty() && !running.outlives_callers() {
-                unwanted.push(request.clone());
-            }
-        }
-        for request in unwanted {
-            self.abandon(cx, &request);
-            let detail = "all callers hung up";
-            let refusal = Refusal::may_have_run(Code::Cancelled, Remedy::Wait, detail);
-            self.finish(cx, &request, Verdict::Refused(refusal));
-        }
-        self.elsewhere_gone(&who);
-    }
-
-    pub(super) fn tick_running(&mut self, cx: &mut Context<'_>) {
-        let requests: Vec<Request> = self.running.keys().cloned().collect();
-        for request in &requests {
-            self.tick_request(cx, request);
-        }
-    }
-
-    fn tick_request(&mut self, cx: &mut Context<'_>, request: &Request) {
-        let Some(running) = self.running.get(request) else {
-            return;
-        };
-        let plan = &running.plan;
-        if plan.idempotent && !plan.late_answer_wanted && cx.now >= running.deadline {
-            return self.too_late(cx, request);
-        }
-        match &running.state {
-            State::Preparing(_) => self.tick_preparing(cx, request),
-            State::Looking { until, .. } | State::Resting(until) if cx.now >= *until => {
-                self.offer(cx, request);
-            }
-            State::Called { silent_at, .. } if cx.now >= *silent_at => self.silent(cx, request),
-            State::Cancelling { call, until } if cx.now >= *until => {
-                let call = *call;
-                self.by_call.remove(&call);
-                if let Some(running) = self.running.get_mut(request) {
-                    running.began = true;
-                }
-                self.retry(cx, request, None, Code::AnswerLost);
-            }
-            _ => {}
-        }
-    }
-
-    fn too_late(&mut self, cx: &mut Context<'_>, request: &Request) {
-        self.abandon(cx, request);
-        let Some(running) = self.running.get(request) else {
-            return;
-        };
-        let detail = format!("no answer within {} ms", running.plan.deadline_ms);
-        let refusal = running.refusal(Code::Deadline, Remedy::Wait, detail);
-        self.finish(cx, request, Verdict::Refused(refusal));
-    }
-
-    /// Cancels a call that makes no progress.
-    fn silent(&mut self, cx: &mut Context<'_>, request: &Request) {
-        self.counters.silent += 1;
-        let Some(running) = self.running.get_mut(request) else {
-            return;
-        };
-        let Some(call) = running.called() else {
-            return;
-        };
-        let pool = running.pool().clone();
-        cx.decide(Kind::Retry, request, "silent", "cancel", Vec::new());
-        if running.plan.idempotent {
-            self.abandon(cx, request);
-            return self.retry(cx, request, None, Code::AnswerLost);
-        }
-        // The pool may still say that the call was never sent.
-        running.state = State::Cancelling {
-            call,
-            until: cx.now.after_ms(CANCEL_MS),
-        };
-        cx.out.push(Action::Cancel { call, pool });
-    }
 }
 
-fn deliver_piece(cx: &mut Context<'_>, waiters: &mut [Waiter], index: u64, piece: &Body) {
-    for waiter in waiters {
-        let Who::Caller(caller) = waiter.who else {
-            continue;
-        };
-        if index >= waiter.next {
-            waiter.next = index + 1;
-            cx.out.push(Action::Piece {
-                caller,
-                index,
-                piece: piece.clone(),
-            });
-        }
-    }
-}
-
-fn call_timeout_ms(view: &View, pool: &Name) -> u64 {
+pub(super) fn call_timeout_ms(view: &View, pool: &Name) -> u64 {
     let pool = view.document.pools.get(pool);
     pool.map_or(DEFAULT_CALL_TIMEOUT_MS, |pool| pool.call_timeout_ms)
 }
-
-fn code_word(code: Code) -> &'static str {
-    match code {
-        Code::NoServer => "refused_by_server",
-        Code::ServerFailed => "server_failed",
-        _ => "answer_lost",
-    }
-}
