Send a comment each second on streams that wait

Cause: a caller who waited in a queue heard nothing, which looks the same as a connection that fell silent, and the host noticed a vanished caller only with the first piece. A stream now starts after one second at the latest and gets comments until its pieces come.

--- a/src/shell/http/requests.rs
+++ b/src/shell/http/requests.rs
@@ -10,6 +10,7 @@
     },
 };
 use serde::Serialize;
+use tokio::time::timeout;
 
 use super::{
     Shared,
@@ -109,15 +110,25 @@
 
 async fn respond(shell: &Arc<Shell>, mut exchange: Exchange, draft: &Draft<'_>) -> HttpResponse {
     let start = shell.now();
-    // The first reply decides on the status, also of a stream.
-    let first = exchange.next().await;
+    // The first reply decides on the status, also of a stream that doesn't wait long for it.
+    let first = if draft.wants_pieces {
+        let waited = timeout(stream::HEARTBEAT, exchange.next()).await;
+        let Ok(first) = waited else {
+            count(shell, "streamed");
+            return stream::respond(exchange, None, draft.request.clone(), draft.resume_from);
+        };
+        first
+    } else {
+        exchange.next().await
+    };
     let response = match first {
         Some(Reply::Refuse { request, refusal }) => {
             return refuse(shell, Some(&request), &refusal);
         }
         Some(first) if draft.wants_pieces => {
             count(shell, "streamed");
-            return stream::respond(exchange, first, draft.request.clone(), draft.resume_from);
+            let (request, from) = (draft.request.clone(), draft.resume_from);
+            return stream::respond(exchange, Some(first), request, from);
         }
         Some(Reply::Answer { request, body }) if request == draft.request => {
             count(shell, "answered");
--- a/src/shell/http/stream.rs
+++ b/src/shell/http/stream.rs
@@ -7,6 +7,7 @@
         Context,
         Poll, //
     },
+    time::Duration,
 };
 
 use ntex::{
@@ -17,6 +18,11 @@
     web::HttpResponse, //
 };
 use serde_json::json;
+use tokio::time::{
+    Instant,
+    Interval,
+    interval_at, //
+};
 
 use super::answer::{
     ORGANISATION,
@@ -34,6 +40,13 @@
     },
 };
 
+/// Time without a piece after which a caller gets a comment, so that it can tell a wait from a
+/// connection that fell silent, and so that the host notices a caller who has gone.
+pub(super) const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// The comment, which clients of server-sent events skip.
+const WAITING: &[u8] = b": waiting\n\n";
+
 /// Why a stream ends without its end: the connection is closed, so the caller resumes.
 #[derive(Debug, thiserror::Error)]
 #[error("the exchange was closed before the answer's end")]
@@ -43,6 +56,7 @@
 struct Events {
     exchange: Option<Exchange>,
     first: Option<Reply>,
+    heartbeat: Interval,
     request: Request,
     next: u64,
     /// Pieces that came before their turn.
@@ -51,10 +65,10 @@
     has_pieces: bool,
 }
 
-/// Makes the response of a stream whose first reply is known.
+/// Makes the response of a stream, whose first reply may be known.
 pub(super) fn respond(
     exchange: Exchange,
-    first: Reply,
+    first: Option<Reply>,
     request: Request,
     resume_from: u64,
 ) -> HttpResponse {
@@ -64,9 +78,15 @@
         .header("cache-control", "no-store")
         .header(REQUEST_ID, request.id.as_str())
         .header(ORGANISATION, request.organisation.as_str());
+    // Who has waited for the first reply gets the first comment at once.
+    let heartbeat_at = match first {
+        Some(_) => Instant::now() + HEARTBEAT,
+        None => Instant::now(),
+    };
     response.streaming(Events {
         exchange: Some(exchange),
-        first: Some(first),
+        first,
+        heartbeat: interval_at(heartbeat_at, HEARTBEAT),
         request,
         next: resume_from,
         early: BTreeMap::new(),
@@ -143,13 +163,17 @@
                     return Poll::Ready(Some(Err(Unfinished)));
                 }
                 Poll::Ready(None) => break,
-                Poll::Pending if text.is_empty() => return Poll::Pending,
+                Poll::Pending if text.is_empty() => {
+                    let waited = this.heartbeat.poll_tick(context);
+                    return waited.map(|_| Some(Ok(Bytes::from_static(WAITING))));
+                }
                 Poll::Pending => break,
             }
         }
         if text.is_empty() {
             return Poll::Ready(None);
         }
+        this.heartbeat.reset();
         Poll::Ready(Some(Ok(Bytes::from(text))))
     }
 }
--- a/tests/integration/failure.rs
+++ b/tests/integration/failure.rs
@@ -191,6 +191,26 @@
     String::from_utf8_lossy(&got).into_owned()
 }
 
+#[test]
+fn stream_waits_with_heartbeats() {
+    run(async {
+        let pace = Pace {
+            call_ms: 1,
+            pieces: 1,
+            piece_ms: 1_500,
+        };
+        let cluster = Cluster::start(pace, Limits::default()).await;
+        let address = cluster.addresses()[0];
+        let waiting = thread::spawn(move || read_slowly(address, "wait-1"));
+        while !waiting.is_finished() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let got = waiting.join().expect("the caller ends");
+        assert!(got.contains(": waiting\n"), "{got}");
+        assert!(got.contains("event: end\n"), "{got}");
+    });
+}
+
 #[test]
 fn callers_slow_and_half_closed() {
     run(async {
