--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod outcome;
 mod overload;
+mod placement;
 mod shutdown;
 mod slopes;
 
@@ -30,6 +31,7 @@
     ("orders", orders::measure),
     ("outcome", outcome::measure),
     ("overload", overload::run),
+    ("placement", placement::measure),
     ("shutdown", shutdown::measure),
     ("slopes", slopes::run),
 ];
