Let a restarted host take over the place of its name

Rosters keep a name's place over restarts, but shares compared whole identities, so a restarted host had no slots for ever.

Now a place belongs to the name. As calls of the life before may still run, the new life waits the call timeout from when it first sees a roster, also where the state comes after its first tick, and the node says that it has shrunk only after that.

--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -335,7 +335,13 @@
         let view = self.view();
         let pools: Vec<_> = self.pools.read().values().cloned().collect();
         let shrunk = pools.iter().all(|pool| pool.lock().has_shrunk(&view));
-        if shrunk {
+        let timeouts = view.document.pools.values().map(|it| it.call_timeout_ms);
+        let longest_ms = timeouts.max().unwrap_or(0);
+        // Calls of this host's life before may run, which no pool counts.
+        let unknown = self
+            .board
+            .with_rosters(|rosters| rosters.is_unknown(now, longest_ms));
+        if shrunk && !unknown {
             self.control(now, control::Event::Shrunk(view.roster.epoch), out);
         }
     }
--- a/src/core/routing/roster.rs
+++ b/src/core/routing/roster.rs
@@ -82,14 +82,23 @@
         (rosters, until)
     }
 
+    /// Returns whether some roster that counts isn't known, so that calls which nobody counts may
+    /// run: this host can't say then that its calls fit a share.
+    pub fn is_unknown(&self, now: Instant, call_timeout_ms: u64) -> bool {
+        self.held
+            .iter()
+            .any(|held| held.members.is_none() && held.closed_at.after_ms(call_timeout_ms) > now)
+    }
+
     /// Returns the rosters that a view closes while calls of their members may still run.
     fn closed(&self, view: &View) -> Vec<Option<Vec<Id>>> {
-        let Some(epoch) = self.epoch else {
+        let Some(epoch) = self.epoch.filter(|epoch| *epoch > 0) else {
             // The first roster of all has no forerunner, whose calls could still run.
             let first = view.roster.epoch <= 1 || !view.previous_roster.members.is_empty();
-            return if first { Vec::new() } else { vec![None] };
+            let safe = first && !had_life_before(view);
+            return if safe { Vec::new() } else { vec![None] };
         };
-        if view.roster.epoch > epoch + 1 && epoch > 0 {
+        if view.roster.epoch > epoch + 1 {
             return vec![None];
         }
         let mut closed = Vec::new();
@@ -105,6 +114,16 @@
     }
 }
 
+/// Returns whether an earlier life of this host holds a place, so that its calls may still run.
+fn had_life_before(view: &View) -> bool {
+    let rosters = [&view.roster.members, &view.previous_roster.members];
+    let own = &view.own.id;
+    rosters
+        .into_iter()
+        .flatten()
+        .any(|id| id.name == own.name && id != own)
+}
+
 /// Returns whether a member of a closed roster may have left calls that don't fit a later share.
 ///
 /// That a member stays on the roster proves nothing: it may have died with calls of its old share.
--- a/src/core/routing/share.rs
+++ b/src/core/routing/share.rs
@@ -23,15 +23,17 @@
     };
 
     /// Returns the place of a host for one server, by rendezvous hashing.
+    ///
+    /// The place belongs to the name: a restarted host takes over that of its life before.
     pub fn of(own: &Id, pool: &str, server: &str, members: &[Id]) -> Self {
         let key = server_key(pool, server);
-        let own_weight = (weight(own, key), own);
+        let own_weight = (weight(own, key), &own.name);
         let mut rank = 0;
         let mut found = false;
         for member in members {
-            if member == own {
+            if member.name == own.name {
                 found = true;
-            } else if (weight(member, key), member) < own_weight {
+            } else if (weight(member, key), &member.name) < own_weight {
                 rank += 1;
             }
         }
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -168,6 +168,34 @@
     assert_eq!(sent(pool.step(at(5_020), &view, Event::Tick)).len(), 10);
 }
 
+#[test]
+fn offer_restarted_host_keeps_its_place() {
+    let mut pool = pool();
+    let mut view = view(0, 2, document(1, 10, 10));
+    view.roster.epoch = 5;
+    view.own.id.incarnation = 2;
+    // Calls of its life before run 5 s at most.
+    tick_until(&mut pool, &view, 0, 4_000);
+    assert!(offer(&mut pool, &view, at(4_000), 0..20).is_empty());
+    assert!(tick_until(&mut pool, &view, 4_000, 4_999).is_empty());
+    assert_eq!(sent(pool.step(at(5_000), &view, Event::Tick)).len(), 5);
+}
+
+#[test]
+fn offer_restarted_host_waits_under_first_roster() {
+    let mut pool = pool();
+    let mut view = view(0, 2, document(1, 10, 10));
+    let roster = std::mem::take(&mut view.roster);
+    view.own.id.incarnation = 2;
+    // The state comes after the first tick.
+    pool.step(at(0), &view, Event::Tick);
+    view.roster = roster;
+    tick_until(&mut pool, &view, 100, 4_000);
+    assert!(offer(&mut pool, &view, at(4_000), 0..20).is_empty());
+    assert!(tick_until(&mut pool, &view, 4_000, 5_099).is_empty());
+    assert_eq!(sent(pool.step(at(5_100), &view, Event::Tick)).len(), 5);
+}
+
 #[test]
 fn offer_drained() {
     let mut view = view(0, 1, document(1, 4, 32));
