Search a log that forgot all up to the position before following it

Cause: the model of configuration found a host to which the log had forgotten everything up to its position: it had no record left to compare with, took the next one unseen, and missed the anchor of another generation.

A search comes first now. Only where it finds nothing newer is the log followed.

Conclusion: the test of this case fails without the change and passes with it.

--- a/src/core/replica/reading.rs
+++ b/src/core/replica/reading.rs
@@ -96,6 +96,9 @@
     pub(super) failed_since: Option<Instant>,
     /// When the log was last seen to hold what is applied, unless a read failed since.
     verified_at: Option<Instant>,
+    /// Whether a search found nothing that leads on, so that a log that forgot all up to the
+    /// position, among it the record to compare with, may be followed.
+    searched: bool,
 }
 
 impl Reading {
@@ -107,6 +110,7 @@
             next_at: Instant::ZERO,
             failed_since: None,
             verified_at: None,
+            searched: false,
         }
     }
 
@@ -229,7 +233,9 @@
             self.begin_search(now, "log_shorter", end);
             return;
         }
-        if first > self.position.next {
+        let next = self.position.next;
+        let is_unseen = next > 0 && first == next && end > next && !self.reading.searched;
+        if first > next || is_unseen {
             self.begin_search(now, "log_forgot", first);
             return;
         }
@@ -239,6 +245,7 @@
                 return;
             }
         }
+        self.reading.searched &= first >= self.position.next;
         self.retention.note_first_kept(first);
         self.reading.verified_at = Some(now);
         if self.position.next >= end {
@@ -393,7 +400,8 @@
         if !is_empty && !split && first <= next && next <= end {
             // The log holds all that is applied: an answer that lagged led to the search.
             self.reading.mode = Mode::Follow;
-            self.read_again_in(now, SEARCH_MS);
+            self.reading.searched = true;
+            self.reading.hurry(now);
             return;
         }
         if !is_empty {
--- a/tests/core/replica.rs
+++ b/tests/core/replica.rs
@@ -6,18 +6,25 @@
             Edit,
             Policies, //
         },
+        host::Id,
+        log,
         replica::{
+            self,
             Answer,
-            Policy, //
+            Policy,
+            Replica, //
         },
         state::{
             Change,
+            Position,
             Record,
+            Snapshot,
             Target,
             Verdict, //
         },
     },
-    names::Name, //
+    names::Name,
+    time::Instant, //
 };
 
 use crate::driver::{
@@ -325,3 +332,57 @@
         assert_eq!(retry_percent(&replicas, process), 8);
     }
 }
+
+/// Returns the ticket of the next read that a lone replica sends.
+fn next_read(replica: &mut Replica, now: &mut Instant) -> log::Ticket {
+    for _ in 0..100 {
+        *now = now.after_ms(50);
+        for action in replica.step(*now, replica::Event::Tick) {
+            if let replica::Action::Log(log::Action::Read { ticket, .. }) = action {
+                return ticket;
+            }
+        }
+    }
+    panic!("no read within 5 s");
+}
+
+#[test]
+fn log_forgot_all_up_to_the_position_after_an_anchor() {
+    let own = Id {
+        name: "host-1".into(),
+        incarnation: 1,
+    };
+    let mut replica = Replica::new(own, Policy::LogAlone, 1);
+    let mut now = Instant::ZERO;
+    let ticket = next_read(&mut replica, &mut now);
+    let read = |ticket, first, record| log::Event::Read {
+        ticket,
+        first,
+        end: first + 1,
+        entries: vec![log::Entry {
+            offset: first,
+            record,
+        }],
+    };
+    replica.step(now, replica::Event::Log(read(ticket, 0, change("a", 0, 7))));
+    assert_eq!(replica.position().next, 1);
+    // Meanwhile the log lost the change, was anchored at 0, and forgot the anchor.
+    let mut state = replica.state().clone();
+    state.apply(replica.position(), &drain("d", true));
+    state.anchored_from = replica.position();
+    let snapshot = Record::Snapshot(Box::new(Snapshot {
+        position: Position {
+            generation: 1,
+            next: 1,
+        },
+        last: 1,
+        state,
+    }));
+    for _ in 0..2 {
+        let ticket = next_read(&mut replica, &mut now);
+        let event = read(ticket, 1, snapshot.clone());
+        replica.step(now, replica::Event::Log(event));
+    }
+    assert_eq!(replica.position().generation, 1);
+    assert_eq!(replica.state().drained.len(), 1);
+}
