Tell of an acceptance only where the log was seen to hold it

Cause: the model of configuration found news of a dead host that reached another one after that had answered a question about a loss: its operator was told of an acceptance that the anchor then lacked. Hosts of another generation counted as holders too.

--- a/src/core/replica/proposals.rs
+++ b/src/core/replica/proposals.rs
@@ -155,9 +155,13 @@
         let Verdict::Accepted(position) = verdict else {
             return Some(verdict);
         };
+        // While the log isn't seen to hold it, it may be anchored anew without the record.
+        if !self.reading.is_verified(now) || !self.is_seen(position) {
+            return None;
+        }
         let known_at = *proposal.known_at.get_or_insert(now);
         let wanted = SPREAD_HOSTS.min(self.members.len());
-        let is_spread = self.spread.holders(position) >= wanted;
+        let is_spread = self.holders(position) >= wanted;
         let waited = now.since_ms(known_at) >= SPREAD_LIMIT_MS;
         (is_spread || waited || !self.is_spreading()).then_some(verdict)
     }
--- a/src/core/replica/reading.rs
+++ b/src/core/replica/reading.rs
@@ -96,6 +96,8 @@
     pub(super) failed_since: Option<Instant>,
     /// When the log was last seen to hold what is applied, unless a read failed since.
     verified_at: Option<Instant>,
+    /// Position up to which the log was seen to hold what is applied.
+    seen: Position,
     /// Whether a search found nothing that leads on, so that a log that forgot all up to the
     /// position, among it the record to compare with, may be followed.
     searched: bool,
@@ -110,6 +112,7 @@
             next_at: Instant::ZERO,
             failed_since: None,
             verified_at: None,
+            seen: Position::default(),
             searched: false,
         }
     }
@@ -248,6 +251,10 @@
         self.reading.searched &= first >= self.position.next;
         self.retention.note_first_kept(first);
         self.reading.verified_at = Some(now);
+        self.reading.seen = Position {
+            next: self.position.next.min(end),
+            ..self.position
+        };
         if self.position.next >= end {
             self.know_all(now, outstanding.sent_at);
             let poll_ms = self.poll_ms();
@@ -283,6 +290,11 @@
         true
     }
 
+    /// Returns whether this host saw in the log itself what stands at a position.
+    pub(super) fn is_seen(&self, position: Position) -> bool {
+        position <= self.reading.seen
+    }
+
     /// Takes note that all that was in the log when a read was sent is applied.
     fn know_all(&mut self, now: Instant, sent_at: Instant) {
         self.fresh_at = self.fresh_at.max(sent_at);
--- a/src/core/replica/spread.rs
+++ b/src/core/replica/spread.rs
@@ -66,12 +66,6 @@
 }
 
 impl Spread {
-    /// Returns how many other hosts are known to hold a position.
-    pub(super) fn holders(&self, position: Position) -> usize {
-        let holds = |held: &&Position| **held >= position;
-        self.positions.values().filter(holds).count()
-    }
-
     /// Returns whether another host is known to be further than a position.
     pub(super) fn is_ahead(&self, position: Position) -> bool {
         self.positions.values().any(|held| *held > position)
@@ -109,6 +103,21 @@
 }
 
 impl Replica {
+    /// Returns how many other hosts are known to hold what this host holds at a position.
+    ///
+    /// A host of another generation may lack it, however far it is.
+    pub(super) fn holders(&self, position: Position) -> usize {
+        let generation = self.position.generation;
+        let least = match position.generation == generation {
+            true => position.next,
+            false => 0,
+        };
+        let positions = self.spread.positions.values();
+        positions
+            .filter(|held| held.generation == generation && held.next >= least)
+            .count()
+    }
+
     /// Returns whether news comes from other hosts too.
     pub(super) fn is_spreading(&self) -> bool {
         self.policy == Policy::Teaselchute
