--- a/src/core/replica/loss.rs
+++ b/src/core/replica/loss.rs
@@ -40,12 +40,17 @@
 /// Time between two anchors of one host, in milliseconds.
 const ANCHOR_PAUSE_MS: u64 = 3_000;
 
+/// Time for which a look at the whole log counts, in milliseconds.
+const LOOK_LIMIT_MS: u64 = 2_000;
+
 /// Time between two attempts to bring back a record, in milliseconds.
 const BRING_PAUSE_MS: u64 = 500;
 
 /// A loss that was confirmed by a search of the whole log.
 struct Confirmed {
     since: Instant,
+    /// When the log was last searched in vain.
+    seen_at: Instant,
     end: Offset,
     split: bool,
     asked_at: Option<Instant>,
@@ -75,6 +80,12 @@
     pub(super) fn loss_confirmed(&mut self, now: Instant, end: Offset, split: bool) {
         match &mut self.loss.confirmed {
             Some(confirmed) => {
+                // After a while without a look at the log, such as in an outage, all begins anew.
+                if now.since_ms(confirmed.seen_at) > LOOK_LIMIT_MS {
+                    confirmed.since = now;
+                    confirmed.answers.clear();
+                }
+                confirmed.seen_at = now;
                 confirmed.end = end;
                 confirmed.split = split;
             }
@@ -82,6 +93,7 @@
                 self.decide(now, "log_lost", "ask_members", &[("end", end)]);
                 self.loss.confirmed = Some(Confirmed {
                     since: now,
+                    seen_at: now,
                     end,
                     split,
                     asked_at: None,
@@ -122,7 +134,8 @@
         let pausing = confirmed
             .anchored_at
             .is_some_and(|at| now.since_ms(at) < ANCHOR_PAUSE_MS);
-        if ahead || pausing || now.since_ms(confirmed.since) < CONFIRM_MS + turn_ms {
+        let is_old = now.since_ms(confirmed.seen_at) > LOOK_LIMIT_MS;
+        if ahead || pausing || is_old || now.since_ms(confirmed.since) < CONFIRM_MS + turn_ms {
             return;
         }
         confirmed.anchored_at = Some(now);
@@ -130,7 +143,8 @@
         self.anchor(now, at, out);
     }
 
-    fn is_split_confirmed(&self) -> bool {
+    /// Returns whether the log is known to hold other records than this host applied.
+    pub(super) fn is_split_confirmed(&self) -> bool {
         let confirmed = &self.loss.confirmed;
         confirmed.as_ref().is_some_and(|confirmed| confirmed.split)
     }
--- a/src/core/replica/spread.rs
+++ b/src/core/replica/spread.rs
@@ -260,7 +260,8 @@
 
     /// Gives a host what it lacks: records where they are kept, else the whole state.
     pub(super) fn on_want(&mut self, now: Instant, to: Id, from: Position, out: &mut Vec<Action>) {
-        if from >= self.position {
+        // Where the log went on with other records, this host's own lead nowhere.
+        if from >= self.position || self.is_split_confirmed() {
             return;
         }
         let generation = self.position.generation;
@@ -309,6 +310,11 @@
     }
 
     fn take_items(&mut self, now: Instant, items: Vec<Item>) {
+        // Without the newest record that is applied here, it isn't known to be the same history.
+        let next = self.position.next;
+        if next > 0 && items.first().is_some_and(|item| item.offset >= next) {
+            return;
+        }
         for item in items {
             let next = self.position.next;
             if item.offset + 1 == next && item.digest != self.last {
