Say not_run in the filters only where it is true of all tries

Cause: a request that the filter chain refused (size, JSON, credential, headers, ticket, starting) was told not_run without a look at earlier tries. An order that had run and was asked for again with a wrong header, and a fetch with a wrong credential, got a false word.

After: an id with a ticket's tag gets may_have_run, other ids keep not_run, a fetch or why always gets may_have_run. An id too long for any host is refused, also in a path. The same for a wrong path, and for a change of operators at a host that is behind.

Conclusion: the chain seals nothing, so it can't know; the id's form is all that it may go by, as the ledger does for ticket_required.

--- a/src/core/address/mod.rs
+++ b/src/core/address/mod.rs
@@ -48,7 +48,7 @@
 
 /// Where a caller stands, as far as it says.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct Place {
     /// Its region.
     pub region: Option<Name>,
--- a/src/shell/http/address.rs
+++ b/src/shell/http/address.rs
@@ -6,13 +6,17 @@
 };
 
 use ntex::web::{
+    HttpRequest,
     HttpResponse,
     types::Query, //
 };
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::Shared;
+use super::{
+    Shared,
+    answer, //
+};
 use crate::{
     core::{
         address::{
@@ -23,7 +27,12 @@
         outcome::{
             self,
             Ticket, //
-        }, //
+        },
+        refusal::{
+            Code,
+            Refusal,
+            Remedy, //
+        },
     },
     names::Name,
     wire::ticket,
@@ -47,7 +56,15 @@
     ticket_tag: Option<Name>,
 }
 
-pub(super) async fn lookup(shell: Shared, from: Query<Place>) -> HttpResponse {
+pub(super) async fn lookup(request: HttpRequest, shell: Shared) -> HttpResponse {
+    let from = match Query::<Place>::from_query(request.query_string()) {
+        Ok(from) => from,
+        Err(error) => {
+            let detail = format!("the query of the address lookup: {error}");
+            let refusal = Refusal::not_run(Code::BadRequest, Remedy::ChangeRequest, detail);
+            return answer::refuse(None, &refusal);
+        }
+    };
     let view = shell.node.view();
     let number = shell.next_asker.fetch_add(1, Ordering::Relaxed);
     let own = &view.own.id;
--- a/src/shell/http/filter.rs
+++ b/src/shell/http/filter.rs
@@ -27,12 +27,14 @@
         outcome::{
             Ask,
             Subject,
-            Ticket, //
+            Ticket,
+            ticket::is_tagged, //
         },
         refusal::{
             Code,
             Refusal,
-            Remedy, //
+            Remedy,
+            Run, //
         },
         view::View,
     },
@@ -80,17 +82,35 @@
 
 impl<'a> Draft<'a> {
     /// Leads a request through the chain. Without a subject it only asks after an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// A refusal whose word is true of all tries under the request's id.
     pub(super) fn filter(
         shell: &Shell,
         headers: &'a HeaderMap,
         subject: Option<&'a Subject>,
         id: Option<&str>,
     ) -> Result<Self, Refusal> {
-        let view = shell.node.view();
+        // Nothing can have run under an id that no host takes.
         let id = match id {
-            Some(id) => Name::from(id),
+            Some(id) => checked(REQUEST_ID, id)?,
             None => name(headers, REQUEST_ID)?,
         };
+        let drafted = Self::chain(shell, headers, subject, id.clone());
+        drafted.map_err(|refusal| match subject {
+            Some(_) => of_all_tries(&id, refusal),
+            None => of_earlier_try(refusal),
+        })
+    }
+
+    fn chain(
+        shell: &Shell,
+        headers: &'a HeaderMap,
+        subject: Option<&'a Subject>,
+        id: Name,
+    ) -> Result<Self, Refusal> {
+        let view = shell.node.view();
         let mut draft = Draft {
             headers,
             subject,
@@ -111,6 +131,21 @@
         Ok(draft)
     }
 
+    /// Reads the body of a request that came through the chain.
+    ///
+    /// # Errors
+    ///
+    /// A refusal whose word is true of all tries under the request's id.
+    pub(super) async fn read_body(
+        &self,
+        shell: &Shell,
+        payload: &mut Payload,
+    ) -> Result<Body, Refusal> {
+        let limit = shell.options.config.limits.body_bytes;
+        let read = read_body(shell, payload, limit).await;
+        read.map_err(|refusal| of_all_tries(&self.request.id, refusal))
+    }
+
     /// Makes the ask of a draft and its body.
     pub(super) fn ask(&self, subject: Subject, body: Body) -> Ask {
         Ask {
@@ -149,15 +184,48 @@
 
 fn name(headers: &HeaderMap, field: &str) -> Result<Name, Refusal> {
     match header(headers, field)? {
-        Some(text) if !text.is_empty() && text.len() <= MAX_NAME_BYTES => Ok(Name::from(text)),
-        Some(text) => Err(bad(format!(
-            "header {field} has {} bytes, 1 to {MAX_NAME_BYTES} are allowed",
-            text.len()
-        ))),
+        Some(text) => checked(field, text),
         None => Err(bad(format!("header {field} is missing"))),
     }
 }
 
+fn checked(field: &str, text: &str) -> Result<Name, Refusal> {
+    if !text.is_empty() && text.len() <= MAX_NAME_BYTES {
+        return Ok(Name::from(text));
+    }
+    Err(bad(format!(
+        "{field} has {} bytes, 1 to {MAX_NAME_BYTES} are allowed",
+        text.len()
+    )))
+}
+
+/// Makes a refusal of one try true of all tries under its id: see `docs/outcomes.md`.
+///
+/// The filters know nothing of earlier tries, here or elsewhere, and seal nothing. So an id that
+/// may belong to a ticket may have run, or may run yet. Of other ids no order runs.
+fn of_all_tries(id: &Name, refusal: Refusal) -> Refusal {
+    if is_tagged(id) {
+        return of_earlier_try(refusal);
+    }
+    refusal
+}
+
+/// Makes a refusal true of all tries under the id that the headers name, if any.
+pub(super) fn of_named_tries(headers: &HeaderMap, refusal: Refusal) -> Refusal {
+    match name(headers, REQUEST_ID) {
+        Ok(id) => of_all_tries(&id, refusal),
+        Err(_) => refusal,
+    }
+}
+
+/// Makes a refusal of whoever asks after an earlier try true of that try.
+fn of_earlier_try(refusal: Refusal) -> Refusal {
+    Refusal {
+        run: Run::MayHaveRun,
+        ..refusal
+    }
+}
+
 /// Returns the organisation of a request whose credential fits.
 fn identify(_: &Shell, view: &View, draft: &mut Draft<'_>) -> Result<(), Refusal> {
     if !view.serving {
--- a/src/shell/http/mod.rs
+++ b/src/shell/http/mod.rs
@@ -22,6 +22,7 @@
     web::{
         self,
         App,
+        HttpRequest,
         HttpResponse,
         HttpServer,
         ServiceConfig,
@@ -133,8 +134,8 @@
         .body(shell.metrics.text())
 }
 
-async fn unknown() -> HttpResponse {
+async fn unknown(request: HttpRequest) -> HttpResponse {
     let detail = "no such path or method";
     let refusal = Refusal::not_run(Code::Unknown, Remedy::ChangeRequest, detail);
-    answer::refuse(None, &refusal)
+    answer::refuse(None, &filter::of_named_tries(request.headers(), refusal))
 }
--- a/src/shell/http/operator.rs
+++ b/src/shell/http/operator.rs
@@ -309,8 +309,9 @@
         publish::Error::Known(verdict) => verdict_response(id, &Answer::Verdict(verdict)),
         publish::Error::Problems(found) => problems(found),
         error @ publish::Error::Behind { .. } => {
+            // An earlier attempt under the same id may still land.
             let detail = error.to_string();
-            let refusal = Refusal::not_run(Code::StaleNews, Remedy::AnotherHost, detail);
+            let refusal = Refusal::may_have_run(Code::StaleNews, Remedy::AnotherHost, detail);
             answer::refuse(None, &refusal)
         }
         error => {
--- a/src/shell/http/requests.rs
+++ b/src/shell/http/requests.rs
@@ -15,10 +15,7 @@
 use super::{
     Shared,
     answer,
-    filter::{
-        Draft,
-        read_body, //
-    },
+    filter::Draft,
     stream, //
 };
 use crate::{
@@ -77,8 +74,7 @@
         Ok(draft) => draft,
         Err(refusal) => return refuse(shell, None, &refusal),
     };
-    let limit = shell.options.config.limits.body_bytes;
-    let body = match read_body(shell, &mut payload, limit).await {
+    let body = match draft.read_body(shell, &mut payload).await {
         Ok(body) => body,
         Err(refusal) => return refuse(shell, Some(&draft.request), &refusal),
     };
@@ -191,7 +187,7 @@
     let why = find_why(&shell, draft.request.id.clone(), &subject);
     if why.decisions.is_empty() {
         let detail = "this host keeps no decision about the request";
-        let refusal = Refusal::not_run(Code::Unknown, Remedy::AnotherHost, detail);
+        let refusal = Refusal::may_have_run(Code::Unknown, Remedy::AnotherHost, detail);
         return refuse(&shell, Some(&draft.request), &refusal);
     }
     HttpResponse::Ok().json(&why)
