Split membership and orders into modules of one job each

Cause: src/core/membership/mod.rs (773 lines), src/core/orders/mod.rs (698) and membership/table.rs (473) each held several jobs.

Membership: message (what hosts say), heartbeat (pings and news), hearing (what is taken from others), entry (one host and its rule of merging), table (all hosts). Orders: order (orders and reports), claim (claims and when to make one), gate (giving, withholding and spacing), wants (what is wanted, and which engines can have it). The five copies of news that tell only a state, and the three of news from a standing, are News::bare and News::told.

Conclusion: behaviour unchanged.

--- a/src/core/membership/mod.rs
+++ b/src/core/membership/mod.rs
@@ -2,11 +2,6 @@
 //!
 //! See `docs/membership-design.md`.
 
-use serde::{
-    Deserialize,
-    Serialize, //
-};
-
 use crate::{
     core::{
         decision::{
@@ -27,16 +22,24 @@
     time::Instant,
 };
 
+mod entry;
+mod hearing;
+mod heartbeat;
+mod message;
 mod probe;
 mod rumour;
 mod table;
 
+pub use message::{
+    Listed,
+    Message,
+    News,
+    Said,
+    Standing, //
+};
 use probe::Prober;
 use rumour::Queue;
-use table::{
-    Change,
-    Table, //
-};
+use table::Table;
 
 /// Time between two pings, in milliseconds.
 const PING_EVERY_MS: u64 = 500;
@@ -44,127 +47,12 @@
 /// Time between two rounds of news without a question, while there is news, in milliseconds.
 const NEWS_EVERY_MS: u64 = 200;
 
-/// Hosts that get the news of one round.
-const NEWS_FAN_OUT: usize = 3;
-
 /// Time between two comparisons of whole tables, in milliseconds.
 const COMPARE_EVERY_MS: u64 = 10_000;
 
-/// Times at which a leaving host tells all others, in milliseconds after it began to leave.
-const LEAVE_TOLD_MS: [u64; 3] = [0, 300, 1_000];
-
 /// Time without a tick after which the host knows that it was paused itself, in milliseconds.
 const OWN_PAUSE_MS: u64 = 400;
 
-/// An entry of the platform's host list, which lags.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Listed {
-    /// The host, as it registered itself.
-    pub host: Host,
-    /// Whether it is leaving.
-    pub leaving: bool,
-}
-
-/// What the membership parts of hosts say to each other, over UDP.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Asks whether the receiver lives.
-    Ping {
-        /// Matches the answer.
-        number: u64,
-        /// What the sender says of itself.
-        standing: Standing,
-        /// News about others, and about the receiver where it is suspected.
-        news: Vec<News>,
-    },
-    /// Answers a ping.
-    Pong {
-        /// The ping's number.
-        number: u64,
-        /// What the sender says of itself.
-        standing: Standing,
-        /// News about others.
-        news: Vec<News>,
-    },
-    /// Asks the receiver to ping another host on the sender's behalf.
-    PingFor {
-        /// Matches the answer.
-        number: u64,
-        /// Whom to ping.
-        target: Id,
-    },
-    /// Tells that the target of a [`Message::PingFor`] answered.
-    PongFor {
-        /// The number of the request.
-        number: u64,
-        /// What the target said of itself.
-        news: Box<News>,
-    },
-    /// News without a question.
-    News(Vec<News>),
-    /// Asks for the receiver's table where its digest is another one.
-    Compare {
-        /// Digest of the sender's table.
-        digest: u64,
-    },
-    /// The sender's whole table.
-    Table {
-        /// The table.
-        news: Vec<News>,
-        /// Digest of the table. The receiver answers with its own where it knows more.
-        digest: u64,
-        /// Whether this is the answer to a table, which ends the exchange.
-        is_answer: bool,
-    },
-}
-
-/// What a host says of itself with each ping and pong.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Standing {
-    /// Rises when the host refutes a suspicion.
-    pub refutation: u64,
-    /// Whether it is alive or leaving.
-    pub state: Said,
-    /// Epoch of the newest roster to which it has shrunk its calls.
-    pub roster_seen: u64,
-    /// Generation of tickets on its own clock.
-    pub generation: u64,
-    /// Milliseconds for which it has served, `None` where it doesn't yet.
-    pub serving_ms: Option<u64>,
-    /// Who has left the roster before the current one, as far as the host knows.
-    pub progress: Progress,
-}
-
-/// One piece of news about a member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct News {
-    /// The member.
-    pub host: Host,
-    /// Rises when the member refutes a suspicion.
-    pub refutation: u64,
-    /// What is said of it.
-    pub state: Said,
-    /// Epoch of the newest roster to which it has shrunk its calls.
-    pub roster_seen: u64,
-    /// Generation of tickets on the member's own clock when it told this.
-    pub generation: u64,
-    /// Milliseconds for which it has served, `None` where it doesn't yet or isn't known to.
-    pub serving_ms: Option<u64>,
-}
-
-/// What news say of a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Said {
-    /// It lives.
-    Alive,
-    /// It does not answer.
-    Suspect,
-    /// It is leaving.
-    Leaving,
-    /// It has gone for good: a newer incarnation, or the host list's word.
-    Gone,
-}
-
 /// What membership is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -241,14 +129,7 @@
     /// Makes a membership that knows only this host.
     pub fn new(own: Host, policy: Policy, seed: u64) -> Self {
         let mut rumours = Queue::default();
-        rumours.put(News {
-            host: own.clone(),
-            refutation: 0,
-            state: Said::Alive,
-            roster_seen: 0,
-            generation: 0,
-            serving_ms: None,
-        });
+        rumours.put(News::bare(own.clone(), Said::Alive));
         Self {
             policy,
             refutation: 0,
@@ -347,15 +228,7 @@
     }
 
     fn own_news(&self) -> News {
-        let standing = self.standing();
-        News {
-            host: self.own.clone(),
-            refutation: standing.refutation,
-            state: standing.state,
-            roster_seen: standing.roster_seen,
-            generation: standing.generation,
-            serving_ms: standing.serving_ms,
-        }
+        News::told(self.own.clone(), &self.standing())
     }
 
     fn standing(&self) -> Standing {
@@ -400,306 +273,6 @@
         }
     }
 
-    fn tell_leave(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let Some(since) = self.leaving_since else {
-            return;
-        };
-        let due = LEAVE_TOLD_MS.get(self.leave_told);
-        if due.is_none_or(|due_ms| now.since_ms(since) < *due_ms) {
-            return;
-        }
-        self.leave_told += 1;
-        let news = vec![self.own_news()];
-        for member in self.table.members() {
-            out.push(Action::Send {
-                to: member.host.clone(),
-                message: Message::News(news.clone()),
-            });
-        }
-    }
-
-    /// Asks others about hosts that are late, and suspects those that are silent to all.
-    fn check_probes(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let due = self.prober.due(now);
-        for (number, target) in due.late {
-            let Some(entry) = self.table.entry(&target) else {
-                continue;
-            };
-            let host = entry.host.clone();
-            let members = self.table.members();
-            for helper in self.prober.helpers(members, &self.own, &host) {
-                out.push(Action::Send {
-                    to: helper,
-                    message: Message::PingFor {
-                        number,
-                        target: target.clone(),
-                    },
-                });
-            }
-            out.push(self.ping_action(number, host));
-        }
-        for (target, waited_ms) in due.silent {
-            let Some(news) = self.table.suspect(now, &target) else {
-                continue;
-            };
-            self.decide(now, &news, "suspect_silent", waited_ms, out);
-            self.rumours.put(news);
-        }
-    }
-
-    fn ping(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if let Some(target) = self.prober.target(self.table.members()) {
-            let number = self.prober.probe(now, &target.id);
-            out.push(self.ping_action(number, target));
-        }
-        // Those who woke up learn from this that they are suspected, and refute it.
-        let doubtful: Vec<Host> = self
-            .table
-            .entries()
-            .filter(|entry| entry.said == Said::Suspect || entry.is_missing())
-            .map(|entry| entry.host.clone())
-            .collect();
-        if let Some(target) = self.prober.pick(&doubtful) {
-            let number = self.prober.recheck(now, &target.id);
-            out.push(self.ping_action(number, target));
-        }
-    }
-
-    fn ping_action(&mut self, number: u64, to: Host) -> Action {
-        let message = Message::Ping {
-            number,
-            standing: self.standing(),
-            news: self.news_for(&to.id),
-        };
-        Action::Send { to, message }
-    }
-
-    /// Returns news for a host, first what it should know of itself.
-    fn news_for(&mut self, to: &Id) -> Vec<News> {
-        let mut news = self.rumours.take(self.table.len());
-        if let Some(own) = self.table.news(self.now, to)
-            && own.state != Said::Alive
-        {
-            news.push(own);
-        }
-        news
-    }
-
-    fn spread(&mut self, out: &mut Vec<Action>) {
-        if self.rumours.is_empty() {
-            return;
-        }
-        for to in self.prober.draw(self.table.members(), NEWS_FAN_OUT) {
-            let news = self.rumours.take(self.table.len());
-            if news.is_empty() {
-                break;
-            }
-            out.push(Action::Send {
-                to,
-                message: Message::News(news),
-            });
-        }
-    }
-
-    fn compare(&mut self, out: &mut Vec<Action>) {
-        let digest = self.table.digest(self.now, &self.own_news());
-        for to in self.prober.draw(self.table.members(), 1) {
-            out.push(Action::Send {
-                to,
-                message: Message::Compare { digest },
-            });
-        }
-    }
-
-    fn message(&mut self, now: Instant, from: &Host, message: Message, out: &mut Vec<Action>) {
-        match message {
-            Message::Ping {
-                number,
-                standing,
-                news,
-            } => {
-                self.hear(now, from, &standing, &news, out);
-                let message = Message::Pong {
-                    number,
-                    standing: self.standing(),
-                    news: self.news_for(&from.id),
-                };
-                let to = from.clone();
-                out.push(Action::Send { to, message });
-            }
-            Message::Pong {
-                number,
-                standing,
-                news,
-            } => {
-                self.hear(now, from, &standing, &news, out);
-                if self.prober.answered(number, &from.id) {
-                    self.table.heard(now, &from.id);
-                }
-                if let Some((to, number)) = self.prober.relayed(number) {
-                    let news = News {
-                        host: from.clone(),
-                        refutation: standing.refutation,
-                        state: standing.state,
-                        roster_seen: standing.roster_seen,
-                        generation: standing.generation,
-                        serving_ms: standing.serving_ms,
-                    };
-                    let news = Box::new(news);
-                    let message = Message::PongFor { number, news };
-                    out.push(Action::Send { to, message });
-                }
-            }
-            Message::PingFor { number, target } => {
-                if let Some(entry) = self.table.entry(&target) {
-                    let host = entry.host.clone();
-                    let number = self.prober.relay(now, from, number);
-                    out.push(self.ping_action(number, host));
-                }
-            }
-            Message::PongFor { number, news } => {
-                self.take(now, &news, true, out);
-                if self.prober.answered(number, &news.host.id) {
-                    self.table.heard(now, &news.host.id);
-                }
-            }
-            Message::News(news) => {
-                for news in &news {
-                    self.take(now, news, true, out);
-                }
-            }
-            Message::Compare { digest } => {
-                if digest != self.table.digest(self.now, &self.own_news()) {
-                    self.send_table(from, false, out);
-                }
-            }
-            Message::Table {
-                news,
-                digest,
-                is_answer,
-            } => {
-                for news in &news {
-                    self.take(now, news, false, out);
-                }
-                if !is_answer && digest != self.table.digest(self.now, &self.own_news()) {
-                    self.send_table(from, true, out);
-                }
-            }
-        }
-    }
-
-    fn send_table(&self, to: &Host, is_answer: bool, out: &mut Vec<Action>) {
-        let mut news = self.table.all_news(self.now);
-        news.push(self.own_news());
-        out.push(Action::Send {
-            to: to.clone(),
-            message: Message::Table {
-                news,
-                digest: self.table.digest(self.now, &self.own_news()),
-                is_answer,
-            },
-        });
-    }
-
-    /// Takes what another host says of itself and of others.
-    fn hear(
-        &mut self,
-        now: Instant,
-        from: &Host,
-        standing: &Standing,
-        news: &[News],
-        out: &mut Vec<Action>,
-    ) {
-        let change = self.table.merge_standing(now, from, standing);
-        if let Some(news) = self.table.news(now, &from.id) {
-            self.pass_on(now, news, change, out);
-        }
-        if self.progress.join(&standing.progress) {
-            self.revision += 1;
-        }
-        for news in news {
-            self.take(now, news, true, out);
-        }
-    }
-
-    fn take(&mut self, now: Instant, news: &News, is_rumour: bool, out: &mut Vec<Action>) {
-        if news.host.id.name == self.own.id.name {
-            self.take_own(now, news, out);
-            return;
-        }
-        let change = self.table.merge(now, news, is_rumour);
-        self.pass_on(now, news.clone(), change, out);
-    }
-
-    /// Refutes what others say of this host, where it can.
-    fn take_own(&mut self, now: Instant, news: &News, out: &mut Vec<Action>) {
-        let own = self.own.id.incarnation;
-        let said = news.host.id.incarnation;
-        if said < own {
-            return;
-        }
-        if said > own || news.state == Said::Gone {
-            if !std::mem::replace(&mut self.is_over, true) {
-                self.revision += 1;
-                self.decide(now, news, "own_life_is_over", 0, out);
-            }
-            return;
-        }
-        if news.state == Said::Suspect && news.refutation >= self.refutation {
-            self.refutation = news.refutation + 1;
-            self.rumours.put(self.own_news());
-        }
-    }
-
-    fn pass_on(&mut self, now: Instant, news: News, change: Change, out: &mut Vec<Action>) {
-        let rule = match change {
-            Change::Nothing => return,
-            Change::Joined => "joined",
-            Change::Suspected => "suspect_told",
-            Change::Refuted => "refuted",
-            Change::Serving => "serving",
-            Change::Leaving => "leaving",
-            Change::Gone => "gone_told",
-        };
-        if change == Change::Joined {
-            self.prober.join(&news.host.id);
-        }
-        self.decide(now, &news, rule, 0, out);
-        self.rumours.put(news);
-    }
-
-    fn host_list(&mut self, now: Instant, list: &[Listed], out: &mut Vec<Action>) {
-        let own = list
-            .iter()
-            .filter(|listed| listed.host.id.name == self.own.id.name);
-        if let Some(own) = own.max_by_key(|listed| listed.host.id.incarnation) {
-            let news = News {
-                host: own.host.clone(),
-                refutation: 0,
-                state: Said::Alive,
-                roster_seen: 0,
-                generation: 0,
-                serving_ms: None,
-            };
-            self.take_own(now, &news, out);
-        }
-        for (news, change) in self.table.read_list(now, list) {
-            match change {
-                Change::Gone => self.decide(now, &news, "gone_delisted", 0, out),
-                Change::Leaving => self.decide(now, &news, "leaving_listed", 0, out),
-                _ => self.decide(now, &news, "joined_listed", 0, out),
-            }
-            if self.policy == Policy::Teaselchute && change != Change::Joined {
-                self.rumours.put(news);
-            }
-        }
-        if self.policy == Policy::HostListAlone {
-            self.table.trust_all(now);
-        }
-        self.revision += 1;
-        self.note_progress();
-    }
-
     fn rosters(&mut self, now: Instant, roster: Roster, previous: Roster) {
         if roster.epoch != self.roster.epoch || previous.members != self.previous.members {
             self.progress = Progress::new(roster.epoch, previous.members.len());
--- a/src/core/membership/table.rs
+++ b/src/core/membership/table.rs
@@ -1,12 +1,14 @@
-//! What is known of each host, and the rule by which news replace what was known.
+//! What is known of each host, living or gone.
 
 use std::collections::BTreeMap;
 
 use super::{
-    Listed,
-    News,
-    Said,
-    Standing, //
+    Listed, News, Said, Standing,
+    entry::{
+        self,
+        Change,
+        Entry, //
+    },
 };
 use crate::{
     core::{
@@ -14,10 +16,7 @@
             Host,
             Id, //
         },
-        view::{
-            Health,
-            Member, //
-        },
+        view::Member,
     },
     names::Name,
     time::Instant,
@@ -35,40 +34,6 @@
 /// Time for which gone hosts are remembered where no roster names them.
 const REMEMBER_GONE_MS: u64 = 3_600_000;
 
-/// One host.
-#[derive(Clone, Debug)]
-pub(super) struct Entry {
-    pub(super) host: Host,
-    pub(super) refutation: u64,
-    pub(super) said: Said,
-    pub(super) roster_seen: u64,
-    pub(super) generation: u64,
-    serving_since: Option<Instant>,
-    pub(super) heard_at: Instant,
-    listed: bool,
-    missing_reads: u32,
-    missing_since: Instant,
-}
-
-/// What a piece of news changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Change {
-    /// Nothing that others should hear of.
-    Nothing,
-    /// A host, or a new life of one, is known for the first time.
-    Joined,
-    /// A host is suspected.
-    Suspected,
-    /// A host refuted a suspicion.
-    Refuted,
-    /// A host began to serve.
-    Serving,
-    /// A host is leaving.
-    Leaving,
-    /// A host has gone for good.
-    Gone,
-}
-
 /// A life of a host that is over.
 #[derive(Clone, Debug)]
 struct Grave {
@@ -141,28 +106,15 @@
         }
         let grave = self.graves.get(&id.name)?;
         let host = grave.host.clone()?;
-        (grave.incarnation >= id.incarnation).then_some(News {
-            host,
-            refutation: 0,
-            state: Said::Gone,
-            roster_seen: 0,
-            generation: 0,
-            serving_ms: None,
-        })
+        (grave.incarnation >= id.incarnation).then(|| News::bare(host, Said::Gone))
     }
 
     /// Returns all that is known, for a host that knows less.
     pub(super) fn all_news(&self, now: Instant) -> Vec<News> {
-        let gone = self.graves.values().filter_map(|grave| {
-            Some(News {
-                host: grave.host.clone()?,
-                refutation: 0,
-                state: Said::Gone,
-                roster_seen: 0,
-                generation: 0,
-                serving_ms: None,
-            })
-        });
+        let gone = self
+            .graves
+            .values()
+            .filter_map(|grave| Some(News::bare(grave.host.clone()?, Said::Gone)));
         let entries = self.entries.values().map(|entry| entry.news(now));
         entries.chain(gone).collect()
     }
@@ -173,7 +125,7 @@
         entries
             .chain([own.clone()])
             .filter(|news| news.state != Said::Gone)
-            .map(|news| hash(&news))
+            .map(|news| entry::hash(&news))
             .fold(0, |sum, hash| sum ^ hash)
     }
 
@@ -263,15 +215,7 @@
         host: &Host,
         standing: &Standing,
     ) -> Change {
-        let news = News {
-            host: host.clone(),
-            refutation: standing.refutation,
-            state: standing.state,
-            roster_seen: standing.roster_seen,
-            generation: standing.generation,
-            serving_ms: standing.serving_ms,
-        };
-        self.merge(now, &news, true)
+        self.merge(now, &News::told(host.clone(), standing), true)
     }
 
     /// Takes a read of the host list. Returns the hosts that it changed.
@@ -282,14 +226,7 @@
                 true => Said::Leaving,
                 false => Said::Alive,
             };
-            let news = News {
-                host: listed.host.clone(),
-                refutation: 0,
-                state,
-                roster_seen: 0,
-                generation: 0,
-                serving_ms: None,
-            };
+            let news = News::bare(listed.host.clone(), state);
             let change = self.merge(now, &news, true);
             if change != Change::Nothing {
                 out.push((news, change));
@@ -386,88 +323,3 @@
         self.members = self.entries.values().map(Entry::member).collect();
     }
 }
-
-impl Entry {
-    /// Returns whether the host list misses the host that it had before.
-    pub(super) fn is_missing(&self) -> bool {
-        self.missing_reads > 0
-    }
-
-    pub(super) fn news(&self, now: Instant) -> News {
-        self.news_of(now, self.said)
-    }
-
-    fn news_of(&self, now: Instant, state: Said) -> News {
-        News {
-            host: self.host.clone(),
-            refutation: self.refutation,
-            state,
-            roster_seen: self.roster_seen,
-            generation: self.generation,
-            serving_ms: self.serving_since.map(|since| now.since_ms(since)),
-        }
-    }
-
-    fn member(&self) -> Member {
-        let health = match self.said {
-            Said::Alive => Health::Alive,
-            Said::Suspect => Health::Suspect,
-            Said::Leaving | Said::Gone => Health::Leaving,
-        };
-        Member {
-            host: self.host.clone(),
-            health,
-            roster_seen: self.roster_seen,
-            generation: self.generation,
-            serving_since: self.serving_since,
-        }
-    }
-
-    /// Raises the numbers that only ever rise within one life. Returns whether one did.
-    fn raise(&mut self, now: Instant, news: &News) -> bool {
-        let before = (self.roster_seen, self.generation, self.serving_since);
-        self.roster_seen = self.roster_seen.max(news.roster_seen);
-        self.generation = self.generation.max(news.generation);
-        let serving_since = news.serving_ms.map(|ms| now.before_ms(ms));
-        self.serving_since = self.serving_since.or(serving_since);
-        before != (self.roster_seen, self.generation, self.serving_since)
-    }
-
-    fn merge(&mut self, news: &News, is_rumour: bool) -> Change {
-        let before = self.said;
-        if before == Said::Leaving {
-            return Change::Nothing;
-        }
-        if news.state == Said::Leaving {
-            self.said = Said::Leaving;
-            return Change::Leaving;
-        }
-        if news.refutation > self.refutation {
-            self.refutation = news.refutation;
-            self.said = news.state;
-            return match (before, news.state) {
-                (Said::Suspect, Said::Alive) => Change::Refuted,
-                (Said::Alive, Said::Suspect) => Change::Suspected,
-                // Others may still hold the suspicion that this refutes.
-                (Said::Alive, Said::Alive) => Change::Refuted,
-                _ => Change::Nothing,
-            };
-        }
-        let is_news = news.refutation == self.refutation && is_rumour;
-        if is_news && before == Said::Alive && news.state == Said::Suspect {
-            self.said = Said::Suspect;
-            return Change::Suspected;
-        }
-        Change::Nothing
-    }
-}
-
-fn hash(news: &News) -> u64 {
-    let id = &news.host.id;
-    let mut bytes = id.name.as_bytes().to_vec();
-    bytes.extend(id.incarnation.to_le_bytes());
-    bytes.extend(news.refutation.to_le_bytes());
-    bytes.push(u8::from(news.state == Said::Leaving));
-    bytes.push(u8::from(news.serving_ms.is_some()));
-    xxhash_rust::xxh3::xxh3_64(&bytes)
-}
--- a/src/core/orders/claim.rs
+++ b/src/core/orders/claim.rs
@@ -1,17 +1,20 @@
-//! When a host claims a group of engines.
+//! Claims on groups of engines, and when a host makes one.
 
-use xxhash_rust::xxh3::xxh3_64;
+use std::collections::BTreeMap;
 
-use super::{
-    Claim,
-    Holder, //
+use serde::{
+    Deserialize,
+    Serialize, //
 };
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
     core::{
         host::{
             Host,
             Id, //
         },
+        log::Offset,
         view::{
             Health,
             View, //
@@ -42,6 +45,33 @@
 /// Time after which a claim whose fate isn't known is repeated, in milliseconds.
 const REPEAT_MS: u64 = 30_000;
 
+/// A claim of a controller on a group of engines. Its offset in the log is the fencing number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The group of engines, such as all of one pool in one data centre.
+    pub group: Name,
+    /// Who claims.
+    pub controller: Id,
+    /// Fencing number of the claim that it replaces, `None` for the first.
+    pub replaces: Option<Offset>,
+}
+
+/// The holder of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Who holds it.
+    pub controller: Id,
+    /// Fencing number.
+    pub fence: Offset,
+}
+
+/// Claims in force, by group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// Holders by group.
+    pub holders: BTreeMap<Name, Holder>,
+}
+
 /// Why a group should have another holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Reason {
--- a/src/core/orders/mod.rs
+++ b/src/core/orders/mod.rs
@@ -3,11 +3,8 @@
 //! How orders are fenced: see `docs/orders-design.md`.
 
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
-    sync::Arc,
+    collections::BTreeMap,
+    sync::Arc, //
 };
 
 use rand::{
@@ -15,10 +12,6 @@
     SeedableRng, //
 };
 use rand_pcg::Pcg64Mcg;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -32,17 +25,12 @@
         document::{
             BackendServer,
             Document,
-            Kind,
-            Pool, //
+            Kind, //
         },
         host,
-        log::Offset,
         placement::{
-            self, Step, Want,
-            demand::{
-                self,
-                Demand, //
-            },
+            self,
+            demand::Demand, //
         },
         view::View, //
     },
@@ -51,13 +39,28 @@
 };
 
 mod claim;
+mod gate;
 mod group;
+mod order;
+mod wants;
 
 use claim::Claimer;
+pub use claim::{
+    Claim,
+    Holder,
+    Table, //
+};
 use group::{
     Engine,
     Group, //
 };
+pub use order::{
+    Loaded,
+    Order,
+    Outcome,
+    Report,
+    Wish, //
+};
 
 /// Time between two looks at claims and engines, in milliseconds.
 const TICK_MS: u64 = 500;
@@ -65,122 +68,9 @@
 /// Oldest news of the log with which a host claims, in milliseconds.
 const CLAIM_NEWS_MS: u64 = 4_500;
 
-/// Oldest news with which a destructive order goes to an engine that ignores fencing numbers, in
-/// milliseconds.
-const CONFIRM_NEWS_MS: u64 = 1_500;
-
-/// Oldest news with which a holder orders anything, in milliseconds.
-const HOLD_NEWS_MS: u64 = 600_000;
-
 /// Time without a look after which the host knows that it was paused, in milliseconds.
 const ASLEEP_MS: u64 = 5_000;
 
-/// Time after a claim in which orders of the holder before may still arrive, in milliseconds.
-const SETTLE_MS: u64 = 5_000;
-
-/// A claim of a controller on a group of engines. Its offset in the log is the fencing number.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// The group of engines, such as all of one pool in one data centre.
-    pub group: Name,
-    /// Who claims.
-    pub controller: host::Id,
-    /// Fencing number of the claim that it replaces, `None` for the first.
-    pub replaces: Option<Offset>,
-}
-
-/// The holder of a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holder {
-    /// Who holds it.
-    pub controller: host::Id,
-    /// Fencing number.
-    pub fence: Offset,
-}
-
-/// Claims in force, by group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Table {
-    /// Holders by group.
-    pub holders: BTreeMap<Name, Holder>,
-}
-
-/// What an engine is told to do. Orders are idempotent: they name the wanted state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Wish {
-    /// Load a model with version and adapters.
-    Load {
-        /// The model.
-        model: Name,
-        /// Its version.
-        version: Name,
-        /// Its adapters.
-        adapters: Vec<Name>,
-    },
-    /// Unload a model's version.
-    Unload {
-        /// The model.
-        model: Name,
-        /// Its version.
-        version: Name,
-    },
-}
-
-/// An order to an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Order {
-    /// The order's own id, unique within one life of a host.
-    pub id: u64,
-    /// Pool of the engine.
-    pub pool: Name,
-    /// The engine.
-    pub server: Name,
-    /// Fencing number.
-    pub fence: Offset,
-    /// What is wanted.
-    pub wish: Wish,
-}
-
-/// A model as an engine reports it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Loaded {
-    /// The model.
-    pub model: Name,
-    /// Its version.
-    pub version: Name,
-    /// Its adapters.
-    pub adapters: Vec<Name>,
-    /// Whether it can serve; otherwise it is being loaded.
-    pub ready: bool,
-}
-
-/// What an engine reports of itself when it is read back.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Report {
-    /// Which life of the engine this is.
-    pub start: u64,
-    /// Models that it has.
-    pub models: Vec<Loaded>,
-    /// Highest fencing number that it has obeyed, where it keeps one.
-    pub fence: Option<Offset>,
-}
-
-/// How an order was answered.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Outcome {
-    /// The engine obeyed.
-    Obeyed,
-    /// The engine refused because the fencing number is old.
-    Fenced {
-        /// The number that it has obeyed.
-        newer: Offset,
-    },
-    /// The engine refused for another reason.
-    Refused(Name),
-    /// The answer was lost: the order may have taken effect.
-    Unknown,
-}
-
 /// What a controller is told.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -366,7 +256,8 @@
             let Some(group) = self.groups.get_mut(&name) else {
                 continue;
             };
-            let settle_ms = SETTLE_MS + longest_load_ms(&view.document, &group.pool, share);
+            let settle_ms =
+                gate::SETTLE_MS + gate::longest_load_ms(&view.document, &group.pool, share);
             group.hold(now, fence, settle_ms);
             if group.held.is_some() {
                 self.control(now, view, &name, share, out);
@@ -453,229 +344,14 @@
                 });
             }
         }
-        let wants = wants(&mut self.demand, now, view, name, group);
-        let Some(engines) = usable(now, view, group, pool) else {
+        let wants = wants::wants(&mut self.demand, now, view, name, group);
+        let Some(engines) = wants::usable(now, view, group, pool) else {
             return;
         };
         for step in placement::steps(&engines, &wants) {
             self.give(now, view, name, share, step, out);
         }
     }
-
-    /// Gives one order, where the claim allows it now.
-    fn give(
-        &mut self,
-        now: Instant,
-        view: &View,
-        name: &Name,
-        share: u64,
-        step: Step,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(group) = self.groups.get_mut(name) else {
-            return;
-        };
-        let Some((fence, since)) = group.held else {
-            return;
-        };
-        let server = view
-            .document
-            .pools
-            .get(&group.pool)
-            .and_then(|pool| pool.servers.get(&step.server));
-        let checks = server.is_some_and(|server| server.checks_fencing);
-        let Some(engine) = group.engines.get_mut(&step.server) else {
-            return;
-        };
-        if !engine.is_free(now) {
-            return;
-        }
-        let news_ms = now.since_ms(view.fresh_at);
-        let mut values = step.values.clone();
-        values.extend([
-            value("fence", fence),
-            value("checks_fencing", u64::from(checks)),
-            value("destructive", u64::from(step.is_destructive)),
-            value("news_ms", news_ms),
-        ]);
-        let gate = Gate {
-            now,
-            since,
-            read_at: engine.read_at,
-            news_ms,
-            checks,
-            is_destructive: step.is_destructive,
-            fenced: engine.fenced_by.is_some_and(|newer| newer > fence),
-            is_spaced: step.weights_mb == 0 || now >= group.next_load,
-        };
-        let withheld = match self.policy {
-            Policy::Teaselchute => withheld(&gate),
-            Policy::Hasty => None,
-        };
-        if let Some(rule) = withheld {
-            if engine.withheld.replace(rule) != Some(rule) {
-                let decision = decision(now, &step.server, rule, "withheld", values);
-                out.push(Action::Decide(decision));
-            }
-            return;
-        }
-        engine.withheld = None;
-        self.next_id += 1;
-        let order = Order {
-            id: self.next_id,
-            pool: group.pool.clone(),
-            server: step.server.clone(),
-            fence,
-            wish: step.wish,
-        };
-        engine.ordered(now, &order);
-        if step.weights_mb > 0 {
-            let store = view.document.policies.weight_store_mb_per_second;
-            group.next_load = now.after_ms(load_ms(step.weights_mb, store, share));
-        }
-        let choice = match &order.wish {
-            Wish::Load { model, version, .. } => format!("load {model} {version}"),
-            Wish::Unload { model, version } => format!("unload {model} {version}"),
-        };
-        let decision = decision(now, &step.server, step.rule, &choice, values);
-        out.push(Action::Decide(decision));
-        out.push(Action::Order(order));
-    }
-
-    fn answered(&mut self, now: Instant, id: u64, outcome: &Outcome, out: &mut Vec<Action>) {
-        for group in self.groups.values_mut() {
-            for (server, engine) in &mut group.engines {
-                if !engine.answered(now, id, outcome) {
-                    continue;
-                }
-                let (rule, newer) = match outcome {
-                    Outcome::Obeyed => return,
-                    Outcome::Fenced { newer } => ("order_fenced", *newer),
-                    Outcome::Refused(_) => ("order_refused", 0),
-                    Outcome::Unknown => ("order_answer_lost", 0),
-                };
-                let values = vec![value("order", id), value("newer_fence", newer)];
-                out.push(Action::Decide(decision(
-                    now,
-                    server,
-                    rule,
-                    "read_again",
-                    values,
-                )));
-                return;
-            }
-        }
-    }
-}
-
-/// What decides whether an order may be given.
-struct Gate {
-    now: Instant,
-    /// Since when this host knows that it holds the claim.
-    since: Instant,
-    read_at: Instant,
-    news_ms: u64,
-    checks: bool,
-    is_destructive: bool,
-    fenced: bool,
-    is_spaced: bool,
-}
-
-/// Returns the rule by which an order is withheld, where one does.
-fn withheld(gate: &Gate) -> Option<&'static str> {
-    if gate.fenced {
-        return Some("engine_obeys_a_newer_claim");
-    }
-    if gate.news_ms > HOLD_NEWS_MS {
-        return Some("claim_not_heard_of_for_long");
-    }
-    if !gate.is_spaced {
-        return Some("weight_store_share_in_use");
-    }
-    if gate.checks {
-        return None;
-    }
-    // Orders of the holder before may still be on their way, so its engines are read after them.
-    if gate.read_at < gate.since.after_ms(SETTLE_MS) || gate.now < gate.since.after_ms(SETTLE_MS) {
-        return Some("settling_after_claim");
-    }
-    if gate.is_destructive && gate.news_ms > CONFIRM_NEWS_MS {
-        return Some("claim_not_freshly_confirmed");
-    }
-    None
-}
-
-/// Returns the models that are wanted on the engines of a group.
-fn wants(demand: &mut Demand, now: Instant, view: &View, name: &Name, group: &Group) -> Vec<Want> {
-    let document = &view.document;
-    let Some(pool) = document.pools.get(&group.pool) else {
-        return Vec::new();
-    };
-    // Callers spread over the hosts, so that this host's part stands for that of the others.
-    let hosts = view.members.len() as u64 + 1;
-    let data_centres: BTreeSet<&Name> = pool
-        .servers
-        .values()
-        .map(|server| &server.data_centre)
-        .collect();
-    let models = document.models.iter();
-    models
-        .filter(|(_, model)| model.pool == group.pool)
-        .map(|(model_name, model)| {
-            let running_milli = demand.running_milli(model_name) * hosts;
-            let wanted = demand::replicas_for(running_milli, pool.full_limit, data_centres.len());
-            let wanted = wanted.max(model.least_replicas);
-            Want {
-                model: model_name.clone(),
-                version: model.version.clone(),
-                adapters: model.adapters.clone(),
-                memory_mb: model.memory_mb,
-                weights_mb: model.weights_mb,
-                replicas: demand.replicas(now, name, model_name, wanted),
-                pinned: model.pinned.clone(),
-                forbidden: model.forbidden.clone(),
-            }
-        })
-        .collect()
-}
-
-/// Returns the engines on which models may be placed, or nothing while one isn't read yet.
-///
-/// An engine that leaves is left out, so that its models are placed elsewhere. It keeps what it
-/// has.
-fn usable(now: Instant, view: &View, group: &Group, pool: &Pool) -> Option<Vec<placement::Engine>> {
-    let mut engines = Vec::new();
-    for (server, engine) in &group.engines {
-        if view.is_drained(&group.pool, server, &group.data_centre) || engine.is_down(now) {
-            continue;
-        }
-        if engine.is_ordered() {
-            return None;
-        }
-        let report = engine.report.as_ref()?;
-        engines.push(placement::Engine {
-            server: server.clone(),
-            memory_mb: pool
-                .servers
-                .get(server)
-                .map_or(0, |server| server.memory_mb),
-            loaded: report.models.clone(),
-        });
-    }
-    Some(engines)
-}
-
-/// Returns the time that a load may take of the group's share of the weight store, in
-/// milliseconds.
-fn load_ms(weights_mb: u64, store_mb_per_second: u64, share: u64) -> u64 {
-    weights_mb * 1_000 * share.max(1) / store_mb_per_second.max(1)
-}
-
-fn longest_load_ms(document: &Document, pool: &Name, share: u64) -> u64 {
-    let models = document.models.values().filter(|model| model.pool == *pool);
-    let largest_mb = models.map(|model| model.weights_mb).max();
-    let store = document.policies.weight_store_mb_per_second;
-    load_ms(largest_mb.unwrap_or(0), store, share)
 }
 
 fn decision(
