--- a/tests/integration/operators.rs
+++ b/tests/integration/operators.rs
@@ -96,6 +96,9 @@
             (Some(0), Some(3)),
             "{hosts}"
         );
+        let host = hosts[0]["host"].as_str().expect("a host's name");
+        let (code, why) = run(&["why", host]).await;
+        assert_eq!(code, Some(0), "others tell that {host} joined: {why}");
         let (code, why) = run(&["why", "sorters/warm-0"]).await;
         assert_eq!(code, Some(0), "{why}");
         let (code, _) = run(&["why", "sorters/nobody-asked-this"]).await;
