Guard that a leaving host outlasts the addresses that name it

What was missing are tests that tie it to what callers are told. Tests: linger_ms covers an answer's keep_ms and the margin; a caller whose address was given out by a host that heard a second late, and kept to the end, is still served. Both pass on the code as it is. Conclusion: shortening one of the constants alone turns a test red.

--- a/tests/core/address.rs
+++ b/tests/core/address.rs
@@ -215,3 +215,10 @@
     let passed_over = far.and_then(|it| it.passed_over.clone());
     assert_eq!(passed_over, Some(Name::from("another_region")));
 }
+
+#[test]
+fn linger_ms_outlasts_answer() {
+    let answer = address::answer(&view(), NOW, &region(1), 5);
+    let lapsed_ms = answer.keep_ms + address::LEAVE_MARGIN_MS;
+    assert!(address::linger_ms() >= lapsed_ms, "callers may be refused");
+}
--- a/tests/core/outcome/leaving.rs
+++ b/tests/core/outcome/leaving.rs
@@ -40,6 +40,20 @@
     assert!(bench.ledger(0).is_idle());
 }
 
+/// Time within which all hosts stop naming a leaving one, in milliseconds: see
+/// `docs/address-design.md`.
+const NEWS_MS: u64 = 1_000;
+
+#[test]
+fn leaving_serves_holder_of_last_answer() {
+    let mut bench = Bench::new(3);
+    leave(&mut bench, 0);
+    // Another host named this one just before it heard, and the caller kept that to the end.
+    bench.pass(NEWS_MS + address::KEEP_MS);
+    bench.ask(0, 1, &chat());
+    assert_eq!(bench.offers.len(), 1);
+}
+
 #[test]
 fn leaving_keeps_its_word_on_orders() {
     let mut bench = Bench::new(3);
