--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -43,7 +43,7 @@
 };
 
 mod control;
-mod demand;
+pub mod demand;
 
 pub use control::Control;
 
@@ -422,11 +422,15 @@
                         server,
                     });
                 }
-                routing::Action::Abort { call, server } => out.push(Action::Abort {
-                    call,
-                    pool: name.clone(),
-                    server,
-                }),
+                routing::Action::Abort { call, server } => {
+                    // A silent server never tells the end.
+                    self.demand.ended(now, call);
+                    out.push(Action::Abort {
+                        call,
+                        pool: name.clone(),
+                        server,
+                    });
+                }
                 routing::Action::Refuse { call, refusal } => {
                     let event = outcome::Event::Refused { call, refusal };
                     self.ledger(now, shard_of_call(call), event, out);
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -7,6 +7,7 @@
 mod document;
 mod edits;
 mod membership;
+mod node;
 mod options;
 mod orders;
 mod outcome;
--- a/tests/core/orders.rs
+++ b/tests/core/orders.rs
@@ -38,6 +38,7 @@
 };
 
 const GROUP: &str = "generate/zone-a";
+const MODEL: &str = "model";
 
 fn host(index: usize, incarnation: u64) -> Host {
     Host {
@@ -408,3 +409,67 @@
     bench.log_is_read = true;
     bench.run_to_order();
 }
+
+/// Makes a bench whose holder wants two models of 100 MB, which the weight store gives out in
+/// `load_ms` each if one group alone loads.
+fn loading(load_ms: u64) -> Bench {
+    let mut bench = Bench::new(true);
+    let mut document = document(true);
+    let model = document.models[MODEL].clone();
+    document.models.insert(Name::from("second"), model);
+    document.policies.weight_store_mb_per_second = 100_000 / load_ms;
+    bench.view.document = Arc::new(document);
+    bench.hold_self(3);
+    bench
+}
+
+/// Runs to the next order, lets the engine obey at once, and returns when it was given.
+fn obeyed(bench: &mut Bench, now_loaded: &[Loaded]) -> Instant {
+    bench.run_to_order();
+    bench.report = Some(report(now_loaded));
+    bench.answer(Outcome::Obeyed);
+    bench.now
+}
+
+#[test]
+fn step_loads_spaced_by_weight_store() {
+    let mut bench = loading(20_000);
+    let claimed_at = bench.now;
+    let first = obeyed(&mut bench, &[loaded(MODEL, "v1")]);
+    // A load of the holder before may have begun just before the claim.
+    assert!(first.since_ms(claimed_at) >= 25_000);
+    bench.run_to_order();
+    let waited_ms = bench.now.since_ms(first);
+    assert!((20_000..22_000).contains(&waited_ms), "{waited_ms}");
+    let withheld = bench.rules.iter();
+    let withheld = withheld.filter(|rule| *rule == "weight_store_share_in_use");
+    assert_eq!(withheld.count(), 2, "each wait is told once");
+}
+
+#[test]
+fn step_loads_spaced_by_share_of_groups() {
+    let mut bench = loading(20_000);
+    let mut document = (*bench.view.document).clone();
+    let mut pool = (*document.pools["generate"]).clone();
+    let mut other = (*pool.servers["engine"]).clone();
+    other.data_centre = Name::from("zone-b");
+    pool.servers.insert(Name::from("other"), Arc::new(other));
+    document
+        .pools
+        .insert(Name::from("generate"), Arc::new(pool));
+    bench.view.document = Arc::new(document);
+    let first = obeyed(&mut bench, &[loaded(MODEL, "v1")]);
+    bench.run_to_order();
+    let waited_ms = bench.now.since_ms(first);
+    assert!((40_000..42_000).contains(&waited_ms), "{waited_ms}");
+}
+
+#[test]
+fn step_unload_not_spaced() {
+    let mut bench = loading(20_000);
+    bench.report = Some(report(&[loaded("forgotten", "v1")]));
+    let claimed_at = bench.now;
+    bench.run_to_order();
+    assert!(matches!(bench.orders[0].wish, Wish::Unload { .. }));
+    assert!(bench.now.since_ms(claimed_at) < 5_000);
+}
