Let an answer show which life of a server goes on

A load report of its life 3, 4 s late, overtook that of life 4, so that all hosts took 3 as the newest life and 4 as a past one.

Now an answer to a call or question that was sent after the belief changed brings a past life back, cold. A host vouches only by an answer of the life that it believes in, else the old life would come back that way.

Ruled out: ordering lives by value, as a clock may go back; letting reports bring lives back, as they answer nothing and the two would take turns.

--- a/src/core/routing/limit.rs
+++ b/src/core/routing/limit.rs
@@ -41,6 +41,8 @@
 pub struct Limit {
     start: Option<Start>,
     past: Vec<Start>,
+    /// When this host took the life to be the newest one.
+    heard_at: Instant,
     slots: u32,
     first_reply: Option<Instant>,
     raised_at: Instant,
@@ -53,6 +55,7 @@
         Self {
             start: None,
             past: Vec::new(),
+            heard_at: Instant::ZERO,
             slots: 0,
             first_reply: None,
             raised_at: Instant::ZERO,
@@ -83,14 +86,22 @@
         self.start
     }
 
-    /// Takes the life that a reply, report or notice told.
-    pub fn hear(&mut self, start: Start) -> Evidence {
+    /// Takes the life that a reply, report, notice or vouching told.
+    ///
+    /// `asked_at` is when the call or question was sent that the word answers, nothing where it
+    /// answers none. The words of two lives may overtake each other, so that the older one counts
+    /// as the newest: only an answer to what was sent after that shows which life goes on.
+    pub fn hear(&mut self, now: Instant, start: Start, asked_at: Option<Instant>) -> Evidence {
         if self.start == Some(start) {
             return Evidence::None;
         }
         if self.past.contains(&start) {
-            return Evidence::Past;
+            if asked_at.is_none_or(|at| at <= self.heard_at) {
+                return Evidence::Past;
+            }
+            self.past.retain(|past| *past != start);
         }
+        self.heard_at = now;
         let known = self.start.replace(start);
         if let Some(known) = known {
             if self.past.len() == PAST_LIVES {
--- a/src/core/routing/pool/finish.rs
+++ b/src/core/routing/pool/finish.rs
@@ -53,12 +53,12 @@
         assert!(self.servers[index].in_flight > 0, "calls in flight match");
         self.servers[index].in_flight -= 1;
         if let Some(start) = start {
-            self.hear(now, index, start, out);
+            self.hear(now, index, start, Some(sent.at), out);
         }
         match end {
             End::Answered(_) => {
                 self.answered(now, index, &sent, start);
-                self.vouch(now, index, sent.at, out);
+                self.vouch(now, index, start, sent.at, out);
             }
             End::Failed => self.failed(now, index, &sent, start),
             End::Refused => {
@@ -162,12 +162,12 @@
             return;
         }
         if let Some(start) = start {
-            self.hear(now, index, start, out);
+            self.hear(now, index, start, Some(at), out);
         }
         let server = &mut self.servers[index];
         server.answers();
         server.limit.reply(now, start, at, true, &self.bounds);
-        self.vouch(now, index, at, out);
+        self.vouch(now, index, start, at, out);
     }
 
     /// Frees the slots of calls that can't run any more, though nobody told of their end.
--- a/src/core/routing/pool/observe.rs
+++ b/src/core/routing/pool/observe.rs
@@ -38,7 +38,7 @@
         let Some(&index) = self.names.get(name) else {
             return;
         };
-        self.hear(now, index, load.start, out);
+        self.hear(now, index, load.start, None, out);
         let hosts = view.roster.members.len() as u32;
         let draw = self.rng.random();
         self.servers[index].report(now, load, &self.bounds, hosts, draw);
@@ -54,16 +54,23 @@
     ) {
         if let Some(&index) = self.names.get(name) {
             // The notice reaches all hosts, so that nobody passes it on.
-            self.hear(now, index, start, out);
+            self.hear(now, index, start, None, out);
             out.retain(|action| !matches!(action, Action::TellCold { .. }));
         }
     }
 
-    /// Takes a server's life as told by a reply, report or notice.
-    pub(super) fn hear(&mut self, now: Instant, index: usize, start: Start, out: &mut Vec<Action>) {
+    /// Takes a server's life as [`Limit::hear`](crate::core::routing::limit::Limit::hear) does.
+    pub(super) fn hear(
+        &mut self,
+        now: Instant,
+        index: usize,
+        start: Start,
+        asked_at: Option<Instant>,
+        out: &mut Vec<Action>,
+    ) {
         let server = &mut self.servers[index];
         let before = server.limit.slots(&self.bounds);
-        let Evidence::NewStart(start) = server.limit.hear(start) else {
+        let Evidence::NewStart(start) = server.limit.hear(now, start, asked_at) else {
             return;
         };
         server.turn_cold();
--- a/src/core/routing/pool/talk.rs
+++ b/src/core/routing/pool/talk.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     core::{
+        call::Start,
         host,
         view::View, //
     },
@@ -26,15 +27,18 @@
 
 impl Pool {
     /// Answers the hosts that asked before the call was sent which this server has now answered.
+    ///
+    /// An answer of another life than the one believed in proves nothing of that one.
     pub(super) fn vouch(
         &mut self,
         now: Instant,
         index: usize,
+        told: Option<Start>,
         sent_at: Instant,
         out: &mut Vec<Action>,
     ) {
         let server = &mut self.servers[index];
-        let Some(start) = server.limit.start() else {
+        let Some(start) = told.filter(|_| told == server.limit.start()) else {
             return;
         };
         let limit = server.limit.slots(&self.bounds);
@@ -138,7 +142,8 @@
                 if !self.servers[index].question.is_open(number) {
                     return;
                 }
-                self.hear(now, index, start, out);
+                let asked_at = self.servers[index].question.asked_at();
+                self.hear(now, index, start, asked_at, out);
                 let server = &mut self.servers[index];
                 server.limit.vouch(start, limit);
                 server.question.close();
--- a/src/core/routing/vouch.rs
+++ b/src/core/routing/vouch.rs
@@ -92,6 +92,11 @@
         self.number == Some(number)
     }
 
+    /// Returns when it was last asked: after all news, as long as it's open.
+    pub fn asked_at(&self) -> Option<Instant> {
+        self.asked_at
+    }
+
     /// Drops the question, so that no answer to it counts: it was answered, or news came since.
     pub fn close(&mut self) {
         self.number = None;
--- a/tests/core/routing/limit.rs
+++ b/tests/core/routing/limit.rs
@@ -18,7 +18,7 @@
 /// Returns a limit that rose to the full one in life 1, and the time.
 fn warm() -> (Limit, Instant) {
     let mut limit = Limit::new();
-    limit.hear(1);
+    limit.hear(Instant::ZERO, 1, None);
     let mut now = Instant::ZERO;
     for _ in 0..200 {
         now = now.after_ms(100);
@@ -36,7 +36,7 @@
 #[test]
 fn reply_below_envelope() {
     let mut limit = Limit::new();
-    limit.hear(1);
+    limit.hear(Instant::ZERO, 1, None);
     for ms in 0..10_000 {
         let now = Instant::from_ms(ms);
         limit.reply(now, Some(1), now, true, &BOUNDS);
@@ -47,7 +47,7 @@
 #[test]
 fn reply_not_good() {
     let mut limit = Limit::new();
-    limit.hear(1);
+    limit.hear(Instant::ZERO, 1, None);
     limit.reply(Instant::ZERO, Some(1), Instant::ZERO, true, &BOUNDS);
     let late = Instant::from_ms(60_000);
     assert!(!limit.reply(late, Some(1), late, false, &BOUNDS));
@@ -57,7 +57,7 @@
 #[test]
 fn reply_sent_before_rise() {
     let mut limit = Limit::new();
-    limit.hear(1);
+    limit.hear(Instant::ZERO, 1, None);
     limit.reply(Instant::ZERO, Some(1), Instant::ZERO, true, &BOUNDS);
     let late = Instant::from_ms(60_000);
     assert!(limit.reply(late, Some(1), late, true, &BOUNDS));
@@ -69,15 +69,15 @@
 #[test]
 fn hear_new_start() {
     let (mut limit, _) = warm();
-    assert_eq!(limit.hear(2), Evidence::NewStart(2));
+    assert_eq!(limit.hear(Instant::ZERO, 2, None), Evidence::NewStart(2));
     assert_eq!(limit.slots(&BOUNDS), 4);
 }
 
 #[test]
 fn hear_past_start() {
     let (mut limit, now) = warm();
-    limit.hear(2);
-    assert_eq!(limit.hear(1), Evidence::Past);
+    limit.hear(Instant::ZERO, 2, None);
+    assert_eq!(limit.hear(Instant::ZERO, 1, None), Evidence::Past);
     assert!(!limit.reply(now, Some(1), now, true, &BOUNDS));
     assert_eq!(limit.start(), Some(2));
     assert_eq!(limit.slots(&BOUNDS), 4);
@@ -103,3 +103,19 @@
     limit.lose();
     assert_eq!(limit.slots(&BOUNDS), 4);
 }
+
+#[test]
+fn hear_overtaken_life() {
+    let (mut limit, now) = warm();
+    assert_eq!(limit.hear(now, 3, None), Evidence::NewStart(3));
+    let late = now.after_ms(500);
+    assert_eq!(limit.hear(late, 2, None), Evidence::NewStart(2));
+    // Reports, and answers to what was sent before, may be the older ones.
+    let then = late.after_ms(1_000);
+    assert_eq!(limit.hear(then, 3, None), Evidence::Past);
+    assert_eq!(limit.hear(then, 3, Some(late)), Evidence::Past);
+    let asked_at = late.after_ms(1);
+    assert_eq!(limit.hear(then, 3, Some(asked_at)), Evidence::NewStart(3));
+    assert_eq!(limit.slots(&BOUNDS), BOUNDS.cold);
+    assert_eq!(limit.hear(then, 2, None), Evidence::Past);
+}
--- a/tests/core/routing/pool.rs
+++ b/tests/core/routing/pool.rs
@@ -88,11 +88,15 @@
 
 /// Answers calls one after the other until the only server is taken as warm.
 fn warm(pool: &mut Pool, view: &View) -> Instant {
-    let mut now = at(0);
+    warm_from(pool, view, at(0), 1)
+}
+
+fn warm_from(pool: &mut Pool, view: &View, from: Instant, start: u64) -> Instant {
+    let mut now = from;
     for number in 0..400 {
         let call = &offer(pool, view, now, 10_000 + number..10_001 + number)[0];
         now = now.after_ms(50);
-        end(pool, view, now, call, 1, answered());
+        end(pool, view, now, call, start, answered());
     }
     now
 }
@@ -340,6 +344,25 @@
     assert_eq!(offer(&mut pool, &view, now, 0..60).len(), 4);
 }
 
+#[test]
+fn notice_overtaken_by_newer_life() {
+    let mut pool = pool();
+    let view = view(0, 1, document(1, 4, 32));
+    let mut now = warm(&mut pool, &view);
+    let late = offer(&mut pool, &view, now, 0..1);
+    for start in [3, 2] {
+        let server = Name::from("s0");
+        now = now.after_ms(10);
+        pool.step(now, &view, Event::ColdNotice { server, start });
+    }
+    // This call was sent before life 2 was heard of, so it doesn't show that life 3 goes on.
+    end(&mut pool, &view, now, &late[0], 3, answered());
+    assert_eq!(pool.servers().next().unwrap().limit.start(), Some(2));
+    let now = warm_from(&mut pool, &view, now.after_ms(10), 3);
+    assert_eq!(pool.servers().next().unwrap().limit.start(), Some(3));
+    assert_eq!(offer(&mut pool, &view, now, 0..60).len(), 32);
+}
+
 #[test]
 fn load_late_report_of_past_life() {
     let mut pool = pool();
