Let a reader overflow its queue over real sockets

Before: no such test. After: a caller that reads nothing loses its connection without an end event, another caller at the same host has its whole answer, and the slow one's whole answer is fetched by its id.

Ruled out: the default answer limit of 4 MiB. It counts the engine's bytes on the wire, with escapes, so the stand-in's answer of 0.8 MB broke it in the middle, and the fetch then said that nobody knows the id.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod outage;
 mod path;
 mod silence;
+mod slow;
 
 /// Runs a test's future with a runtime of its own.
 fn run(future: impl Future<Output = ()> + 'static) {
