--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -50,6 +50,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod perform;
+mod signals;
 pub mod why;
 
 /// Number of lanes, in which what the core gives to one caller keeps its order.
