--- a/benches/route.rs
+++ b/benches/route.rs
@@ -108,6 +108,7 @@
         },
         serving: true,
         serving_since: Some(Instant::ZERO),
+        mutation: teaselchute::core::mutation::Mutation::None,
         leaving: false,
         document: Arc::new(document),
         position: Default::default(),
--- a/examples/driver/world/checks.rs
+++ b/examples/driver/world/checks.rs
@@ -276,6 +276,7 @@
                 self.checks.broken("diverged", &text);
             }
         }
+        let mut bases = BTreeSet::new();
         for proposal in self.checks.proposals.clone() {
             let Some(Answer::Verdict(told)) = &proposal.answer else {
                 continue;
@@ -284,6 +285,11 @@
                 continue;
             };
             let (told, known) = (is_accepted(told), is_accepted(known));
+            let is_second = told && proposal.based_on.is_some_and(|base| !bases.insert(base));
+            if is_second {
+                let text = format!("{} is accepted on a base that another took", proposal.id);
+                self.checks.broken("false_accept", &text);
+            }
             if told != known {
                 let text = format!("{} was told {told}, is {known}", proposal.id);
                 let promise = if told {
--- a/examples/driver/world/faults.rs
+++ b/examples/driver/world/faults.rs
@@ -123,6 +123,8 @@
 pub struct Proposal {
     /// The change's or order's id.
     pub id: Name,
+    /// Revision on which a change was based.
+    pub based_on: Option<u64>,
     /// The answer.
     pub answer: Option<Answer>,
 }
@@ -359,14 +361,20 @@
         };
         let number = self.checks.proposals.len() as u64;
         let id = Name::from(format!("proposal-{number}"));
+        let record = record(id.clone());
+        let based_on = match &record {
+            Record::Change(change) => Some(change.based_on),
+            _ => None,
+        };
         self.checks.proposals.push(Proposal {
             id: id.clone(),
+            based_on,
             answer: None,
         });
         self.note(&format!("operator proposes {id} at host {host}"));
         let event = node::Event::Propose {
             asker: Asker(number),
-            record: Box::new(record(id)),
+            record: Box::new(record),
         };
         self.driver
             .put(3, host, super::Event::Node(Box::new(event)));
--- a/examples/measure/fleet/hosts.rs
+++ b/examples/measure/fleet/hosts.rs
@@ -121,6 +121,7 @@
             },
             serving: true,
             serving_since: Some(Instant::ZERO),
+            mutation: teaselchute::core::mutation::Mutation::None,
             leaving: false,
             document: self.document.clone(),
             position: Default::default(),
--- a/examples/measure/ledgers/mod.rs
+++ b/examples/measure/ledgers/mod.rs
@@ -477,6 +477,7 @@
                 own,
                 serving: true,
                 serving_since: None,
+                mutation: teaselchute::core::mutation::Mutation::None,
                 leaving: false,
                 document: self.document.clone(),
                 position: Position::default(),
--- a/examples/measure/orders.rs
+++ b/examples/measure/orders.rs
@@ -316,6 +316,7 @@
             own: self.hosts[process].clone(),
             serving: true,
             serving_since: Some(Instant::ZERO),
+            mutation: teaselchute::core::mutation::Mutation::None,
             leaving: false,
             document: self.document.clone(),
             position: Position::default(),
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -14,6 +14,7 @@
             self,
             Membership, //
         },
+        mutation::Mutation,
         orders::{
             self,
             Controller, //
@@ -73,6 +74,7 @@
     leaving: bool,
     view: Arc<View>,
     view_key: Key,
+    mutation: Mutation,
     members_told: Option<u64>,
     roster_next: Instant,
 }
@@ -95,9 +97,11 @@
 impl Control {
     pub(super) fn new(own: host::Host, environment: Name, policies: Policies, seed: u64) -> Self {
         let id = own.id.clone();
-        let replica = Replica::new(id.clone(), policies.replica, seed);
+        let mut replica = Replica::new(id.clone(), policies.replica, seed);
+        replica.set_mutation(policies.mutation);
         let membership = Membership::new(own.clone(), policies.membership, seed);
-        let view = Arc::new(view(&own, &environment, &replica, &membership, false));
+        let mutation = policies.mutation;
+        let view = view(&own, &environment, &replica, &membership, false, mutation);
         let view_key = Key::of(&replica, &membership, false);
         Self {
             replica,
@@ -108,8 +112,9 @@
             own,
             environment,
             leaving: false,
-            view,
+            view: Arc::new(view),
             view_key,
+            mutation,
             members_told: None,
             roster_next: Instant::ZERO,
         }
@@ -148,6 +153,7 @@
             &self.replica,
             &self.membership,
             self.leaving,
+            self.mutation,
         );
         self.view = Arc::new(view);
         self.view_key = key;
@@ -189,7 +195,10 @@
                 self.step_replica(now, replica::Event::Message { from, message }, &mut out);
             }
             Event::Engine(event) => self.step_controller(now, event, &mut out),
-            Event::Propose { asker, record } => {
+            Event::Propose { asker, mut record } => {
+                if self.mutation.is(Mutation::Rebase) {
+                    self.rebase(&mut record);
+                }
                 let event = replica::Event::Propose {
                     asker: Some(asker),
                     record: *record,
@@ -208,6 +217,16 @@
         out
     }
 
+    /// Gives a change the newest base, as [`Mutation::Rebase`] wants it.
+    fn rebase(&self, record: &mut Record) {
+        let Record::Change(change) = record else {
+            return;
+        };
+        if let Some(it) = self.replica.state().environments.get(&change.environment) {
+            change.based_on = it.revision;
+        }
+    }
+
     fn step_replica(&mut self, now: Instant, event: replica::Event, out: &mut Vec<Action>) {
         for action in self.replica.step(now, event) {
             match action {
@@ -328,27 +347,34 @@
     replica: &Replica,
     membership: &Membership,
     leaving: bool,
+    mutation: Mutation,
 ) -> View {
     let state = replica.state();
     let document = match state.environments.get(environment) {
         Some(environment) => environment.document.clone(),
         None => Arc::new(Document::default()),
     };
-    let previous_roster = match membership.is_previous_closed(state.roster.epoch) {
+    let mut roster = state.roster.clone();
+    if mutation.is(Mutation::TakeWholeShare) {
+        roster.members = vec![own.id.clone()];
+    }
+    let is_closed = membership.is_previous_closed(roster.epoch);
+    let previous_roster = match is_closed || mutation.is(Mutation::TakeWholeShare) {
         true => Roster::default(),
         false => state.previous_roster.clone(),
     };
     View {
         own: own.clone(),
-        serving: replica.is_current(),
+        serving: replica.is_current() || mutation.is(Mutation::ServeEarly),
         serving_since: membership.serving_since(),
         leaving: leaving || membership.is_over(),
         document,
         position: replica.position(),
         fresh_at: replica.fresh_at(),
         drained: state.drained.keys().cloned().collect(),
-        roster: state.roster.clone(),
+        roster,
         previous_roster,
         members: membership.members().to_vec(),
+        mutation,
     }
 }
--- a/src/core/node/mod.rs
+++ b/src/core/node/mod.rs
@@ -485,12 +485,37 @@
                     }
                 }
                 outcome::Action::Decide(decision) => out.push(Action::Decide(decision)),
-                action => out.push(Action::Caller(action)),
+                action => out.push(Action::Caller(mutated(view.mutation, action))),
             }
         }
     }
 }
 
+/// Spoils an answer where a mutation wants it.
+fn mutated(mutation: Mutation, action: outcome::Action) -> outcome::Action {
+    match action {
+        outcome::Action::Answer {
+            caller,
+            request,
+            body,
+        } if mutation.is(Mutation::CrossAnswers) => outcome::Action::Answer {
+            caller: outcome::Caller(caller.0.saturating_sub(1)),
+            request,
+            body,
+        },
+        outcome::Action::Answer {
+            caller,
+            request,
+            body,
+        } if mutation.is(Mutation::TruncateAnswers) => outcome::Action::Answer {
+            caller,
+            request,
+            body: body[..body.len().saturating_sub(1)].into(),
+        },
+        action => action,
+    }
+}
+
 fn tell_cold(view: &View, pool: &Name, server: &Name, start: Start, out: &mut Vec<Action>) {
     for member in &view.members {
         out.push(Action::Frame {
--- a/src/core/outcome/ledger/order.rs
+++ b/src/core/outcome/ledger/order.rs
@@ -22,6 +22,7 @@
             value, //
         },
         host,
+        mutation::Mutation,
         outcome::{
             Ask, Message, Standing, Ticket, Unprepared, Verdict,
             answers::{
@@ -160,6 +161,9 @@
             until: limit.min(running.deadline),
         });
         self.send_prepare(cx, request);
+        if cx.view.mutation.is(Mutation::SkipWitness) {
+            self.offer(cx, request);
+        }
     }
 
     fn send_prepare(&self, cx: &mut Context<'_>, request: &Request) {
@@ -299,6 +303,12 @@
             self.counters.unexpected += 1;
             return Standing::Unknown;
         }
+        if view.mutation.is(Mutation::DropSeal) {
+            return match self.witness.look(now, request, ticket) {
+                Standing::Unknown => Standing::Sealed,
+                standing => standing,
+            };
+        }
         match self.witness.seal(now, request, ticket) {
             // The answer may be kept here.
             Standing::Ended(_) => self.known(now, view, request, Some(ticket), Some(digest)),
--- a/src/core/outcome/ledger/retry.rs
+++ b/src/core/outcome/ledger/retry.rs
@@ -17,6 +17,7 @@
             Kind,
             value, //
         },
+        mutation::Mutation,
         outcome::{
             Action, Verdict,
             answers::{
@@ -116,7 +117,9 @@
         {
             running.avoid.push(server);
         }
-        let may_repeat = running.plan.idempotent || !running.began;
+        let may_repeat = running.plan.idempotent
+            || !running.began
+            || cx.view.mutation.is(Mutation::RepeatOrders);
         let in_time = running.plan.late_answer_wanted || cx.now < running.deadline;
         let attempts_left = running.attempt < MAX_ATTEMPTS;
         let values = vec![
--- a/src/core/replica/freshness.rs
+++ b/src/core/replica/freshness.rs
@@ -6,6 +6,7 @@
 use crate::{
     core::{
         document::StaleRule,
+        mutation::Mutation,
         view::View, //
     },
     names::Name,
@@ -39,7 +40,8 @@
     if !view.serving {
         return Allowance::Nothing;
     }
-    if now.since_ms(view.fresh_at) <= FRESH_LIMIT_MS {
+    let is_fresh = now.since_ms(view.fresh_at) <= FRESH_LIMIT_MS;
+    if is_fresh || view.mutation.is(Mutation::IgnoreAge) {
         return Allowance::All;
     }
     match view.document.policies.stale_rule {
--- a/src/core/replica/mod.rs
+++ b/src/core/replica/mod.rs
@@ -25,6 +25,7 @@
         },
         host::Id,
         log,
+        mutation::Mutation,
         state::{
             Position,
             Record,
@@ -151,6 +152,7 @@
     vouch: Vouch,
     loss: Loss,
     decisions: Vec<Decision>,
+    mutation: Mutation,
 }
 
 impl Replica {
@@ -176,9 +178,15 @@
             vouch: Vouch::default(),
             loss: Loss::default(),
             decisions: Vec::new(),
+            mutation: Mutation::None,
         }
     }
 
+    /// Puts a fault into the replica, for tests alone.
+    pub fn set_mutation(&mut self, mutation: Mutation) {
+        self.mutation = mutation;
+    }
+
     /// Takes one event and returns what follows from it.
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
--- a/src/core/view/mod.rs
+++ b/src/core/view/mod.rs
@@ -12,6 +12,7 @@
             Host,
             Id, //
         },
+        mutation::Mutation,
         state::{
             Position,
             Roster,
@@ -77,11 +78,16 @@
     pub previous_roster: Roster,
     /// All known members but this host, sorted by id.
     pub members: Vec<Member>,
+    /// A fault in the core, for tests alone.
+    pub mutation: Mutation,
 }
 
 impl View {
     /// Returns whether a backend server takes no new work, by itself or by its data centre.
     pub fn is_drained(&self, pool: &Name, server: &Name, data_centre: &Name) -> bool {
+        if self.mutation.is(Mutation::IgnoreDrains) {
+            return false;
+        }
         self.drained
             .contains(&Target::DataCentre(data_centre.clone()))
             || self
--- a/tests/core/address.rs
+++ b/tests/core/address.rs
@@ -59,6 +59,7 @@
         own: host(0),
         serving: true,
         serving_since: Some(Instant::ZERO),
+        mutation: teaselchute::core::mutation::Mutation::None,
         leaving: false,
         document: Arc::new(Document::default()),
         position: Default::default(),
--- a/tests/core/orders.rs
+++ b/tests/core/orders.rs
@@ -119,6 +119,7 @@
                 own,
                 serving: true,
                 serving_since: Some(Instant::ZERO),
+                mutation: teaselchute::core::mutation::Mutation::None,
                 leaving: false,
                 document: Arc::new(document(checks_fencing)),
                 position: Default::default(),
--- a/tests/core/outcome/mod.rs
+++ b/tests/core/outcome/mod.rs
@@ -341,6 +341,7 @@
         own: hosts[own].clone(),
         serving: true,
         serving_since: Some(Instant::ZERO),
+        mutation: teaselchute::core::mutation::Mutation::None,
         leaving: false,
         document: Arc::new(document()),
         position: Position::default(),
--- a/tests/core/routing/mod.rs
+++ b/tests/core/routing/mod.rs
@@ -92,6 +92,7 @@
         own: host(own),
         serving: true,
         serving_since: None,
+        mutation: teaselchute::core::mutation::Mutation::None,
         leaving: false,
         document: Arc::new(document),
         position: Default::default(),
