--- a/examples/driver/server.rs
+++ b/examples/driver/server.rs
@@ -27,7 +27,9 @@
     pub host: Process,
     /// The call.
     pub call: call::Call,
-    /// Whether the sender had evidence that the server is cold, when it sent.
+    /// Life of the server when the call was sent.
+    pub sent_to: call::Start,
+    /// Whether the sender had evidence of that life then.
     pub knew: bool,
     /// When the last message of the call reaches the host: later ones come later.
     pub last_delivery: Instant,
--- a/src/core/mutation/mod.rs
+++ b/src/core/mutation/mod.rs
@@ -27,8 +27,6 @@
     TakeWholeShare,
     /// A host serves before its state is as new as what was accepted before it started.
     ServeEarly,
-    /// A host goes back to an older state that another host offers.
-    GoBack,
     /// A host gives a change the newest base in place of the one that its operator saw.
     Rebase,
 }
@@ -44,7 +42,6 @@
     ("ignore_age", Mutation::IgnoreAge),
     ("take_whole_share", Mutation::TakeWholeShare),
     ("serve_early", Mutation::ServeEarly),
-    ("go_back", Mutation::GoBack),
     ("rebase", Mutation::Rebase),
 ];
 
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -97,8 +97,7 @@
 impl Control {
     pub(super) fn new(own: host::Host, environment: Name, policies: Policies, seed: u64) -> Self {
         let id = own.id.clone();
-        let mut replica = Replica::new(id.clone(), policies.replica, seed);
-        replica.set_mutation(policies.mutation);
+        let replica = Replica::new(id.clone(), policies.replica, seed);
         let membership = Membership::new(own.clone(), policies.membership, seed);
         let mutation = policies.mutation;
         let view = view(&own, &environment, &replica, &membership, false, mutation);
--- a/src/core/replica/mod.rs
+++ b/src/core/replica/mod.rs
@@ -25,7 +25,6 @@
         },
         host::Id,
         log,
-        mutation::Mutation,
         state::{
             Position,
             Record,
@@ -152,7 +151,6 @@
     vouch: Vouch,
     loss: Loss,
     decisions: Vec<Decision>,
-    mutation: Mutation,
 }
 
 impl Replica {
@@ -178,15 +176,9 @@
             vouch: Vouch::default(),
             loss: Loss::default(),
             decisions: Vec::new(),
-            mutation: Mutation::None,
         }
     }
 
-    /// Puts a fault into the replica, for tests alone.
-    pub fn set_mutation(&mut self, mutation: Mutation) {
-        self.mutation = mutation;
-    }
-
     /// Takes one event and returns what follows from it.
     pub fn step(&mut self, now: Instant, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
--- a/src/core/replica/spread.rs
+++ b/src/core/replica/spread.rs
@@ -15,7 +15,6 @@
 use crate::{
     core::{
         host::Id,
-        mutation::Mutation,
         state::{
             Position,
             Snapshot, //
@@ -331,8 +330,7 @@
     }
 
     pub(super) fn on_snapshot(&mut self, now: Instant, snapshot: &Snapshot) {
-        let goes_back = self.mutation.is(Mutation::GoBack) && snapshot.position < self.position;
-        if goes_back || snapshot.position > self.position {
+        if snapshot.position > self.position {
             self.meet_snapshot(now, snapshot, "peer");
         }
     }
