--- a/examples/driver/world/mod.rs
+++ b/examples/driver/world/mod.rs
@@ -160,7 +160,7 @@
 }
 
 /// Bytes of a frame's version and tag, and of the IP and UDP headers around it.
-const FRAME_OVERHEAD_BYTES: u64 = 1 + 32 + 28;
+const FRAME_OVERHEAD_BYTES: u64 = 1 + 16 + 28;
 
 /// The environment in which all runs take place.
 pub const ENVIRONMENT: &str = "production";
