--- a/examples/measure/slopes/mod.rs
+++ b/examples/measure/slopes/mod.rs
@@ -66,10 +66,13 @@
         it.bytes
     });
     let change_cpu = report(&change_points, "change", "cpu", "us/s", |it| it.cpu_us);
-    let cpu_us = cpu.at(TARGET_HOSTS) + change_cpu.slope.max(0.0) * TARGET_CHANGES_PER_SECOND;
-    let bytes_per_second =
-        bytes.at(TARGET_HOSTS) + change_bytes.slope.max(0.0) * TARGET_CHANGES_PER_SECOND;
-    let memory_mb = (memory_bytes + memory.at(TARGET_HOSTS)) / 1e6;
+    // Where the line lies below what was measured at the target itself, the measured value counts.
+    let (_, at_target) = host_points[host_points.len() - 1];
+    let cpu_us = cpu.at(TARGET_HOSTS).max(at_target.cpu_us)
+        + change_cpu.slope.max(0.0) * TARGET_CHANGES_PER_SECOND;
+    let bytes_per_second = bytes.at(TARGET_HOSTS).max(at_target.bytes)
+        + change_bytes.slope.max(0.0) * TARGET_CHANGES_PER_SECOND;
+    let memory_mb = (memory_bytes + memory.at(TARGET_HOSTS).max(at_target.memory)) / 1e6;
     let cpu_core_percent = cpu_us / 1e6 * 100.0;
     let held = cpu_core_percent <= CPU_CORE_PERCENT_LIMIT
         && memory_mb <= MEMORY_MB_LIMIT
