Bind a model in soak, so that claims, loads and orders run with all other parts

Cause: the document of soak bound no model, so its runs never reached the controllers of engines, although all parts are to run together.

--- a/examples/driver/server.rs
+++ b/examples/driver/server.rs
@@ -126,6 +126,22 @@
         std::mem::take(&mut self.running).into_values().collect()
     }
 
+    /// Holds a model from the start, as an engine does that served before the run.
+    pub fn hold(&mut self, model: Name, version: Name) {
+        let loaded = Loaded {
+            model: model.clone(),
+            version,
+            adapters: Vec::new(),
+            ready: true,
+        };
+        self.models.insert(model, loaded);
+    }
+
+    /// Returns whether it can serve a model.
+    pub fn holds(&self, model: &str) -> bool {
+        self.models.get(model).is_some_and(|loaded| loaded.ready)
+    }
+
     /// Returns what it says of its models.
     pub fn report(&self) -> Report {
         Report {
--- a/examples/driver/world/checks.rs
+++ b/examples/driver/world/checks.rs
@@ -239,6 +239,29 @@
         self.checks.now = self.driver.now();
         self.check_words();
         self.check_states();
+        self.check_models();
+    }
+
+    /// Each data centre that isn't taken out holds enough replicas of the model at the end.
+    fn check_models(&mut self) {
+        if !self.plan.document.has_model {
+            return;
+        }
+        for place in self.plan.document.places() {
+            let name = document::data_centre_name(place);
+            let target = Target::DataCentre(name.clone());
+            if self.checks.drained_since.contains_key(&target) {
+                continue;
+            }
+            let holding = (0..self.servers.len())
+                .filter(|number| self.place_of_server(*number) == place)
+                .filter(|number| self.servers[*number].holds(document::MODEL))
+                .count();
+            if holding < document::LEAST_REPLICAS as usize {
+                let text = format!("{name} holds {holding} replicas at the end");
+                self.checks.broken("without_model", &text);
+            }
+        }
     }
 
     fn check_words(&mut self) {
--- a/examples/driver/world/document.rs
+++ b/examples/driver/world/document.rs
@@ -14,6 +14,7 @@
             DataCentre,
             Document,
             Kind,
+            Model,
             Organisation,
             Pipeline,
             Pool,
@@ -64,6 +65,8 @@
     pub organisations: usize,
     /// Deadline of the pipeline, in milliseconds.
     pub deadline_ms: u64,
+    /// Whether the stages of engines are bound to a model, which controllers load.
+    pub has_model: bool,
 }
 
 impl Shape {
@@ -90,6 +93,7 @@
             ],
             organisations: 5,
             deadline_ms: 4_000,
+            has_model: false,
         }
     }
 
@@ -142,6 +146,11 @@
                 .pools
                 .insert(Name::from(pool.name), Arc::new(self.pool(pool)));
         }
+        if self.has_model {
+            document
+                .models
+                .insert(Name::from(MODEL), Arc::new(self.model()));
+        }
         let pipeline = Arc::new(self.pipeline());
         document.pipelines.insert(Name::from(PIPELINE), pipeline);
         for (name, idempotent) in [(ORDER, false), (LOOKUP, true)] {
@@ -197,6 +206,25 @@
         }
     }
 
+    /// Returns the model to which a pool's stage is bound.
+    pub fn model_of(&self, pool: &PoolShape) -> Option<Name> {
+        (self.has_model && pool.kind == Kind::Engine).then(|| Name::from(MODEL))
+    }
+
+    fn model(&self) -> Model {
+        let engines = self.pools.iter().find(|pool| pool.kind == Kind::Engine);
+        Model {
+            pool: Name::from(engines.map_or("", |pool| pool.name)),
+            version: Name::from(MODEL_VERSION),
+            adapters: Vec::new(),
+            memory_mb: 40_000,
+            weights_mb: 1_000,
+            least_replicas: LEAST_REPLICAS,
+            pinned: Vec::new(),
+            forbidden: Vec::new(),
+        }
+    }
+
     fn pipeline(&self) -> Pipeline {
         let stages = self
             .pools
@@ -205,7 +233,7 @@
             .map(|pool| Stage {
                 name: Name::from(pool.name),
                 pool: Name::from(pool.name),
-                model: None,
+                model: self.model_of(pool),
             });
         Pipeline {
             stages: stages.collect(),
@@ -219,6 +247,15 @@
 /// The pipeline of all runs.
 pub const PIPELINE: &str = "sorting-notes";
 
+/// The model of all runs that bind one.
+pub const MODEL: &str = "sorter";
+
+/// The version of that model.
+pub const MODEL_VERSION: &str = "1";
+
+/// Fewest replicas of that model in each data centre.
+pub const LEAST_REPLICAS: u32 = 2;
+
 /// The service whose requests may not run twice.
 pub const ORDER: &str = "place-order";
 
--- a/examples/driver/world/mod.rs
+++ b/examples/driver/world/mod.rs
@@ -208,6 +208,7 @@
             incarnations: 0,
             plan,
         };
+        world.hold_models();
         world
             .log
             .append(Record::Change(world.plan.document.change()));
--- a/examples/driver/world/servers.rs
+++ b/examples/driver/world/servers.rs
@@ -277,9 +277,43 @@
             let at = self.driver.now().after_ms(lag_ms);
             self.checks.tells(host, number, load.start, at);
             self.driver.put(lag_ms, host, Event::Node(Box::new(event)));
+            self.tell_models(number, host, lag_ms);
         }
     }
 
+    /// Lets all engines hold the model from the start.
+    pub(super) fn hold_models(&mut self) {
+        let shape = self.plan.document.clone();
+        for pool in &shape.pools {
+            let Some(model) = shape.model_of(pool) else {
+                continue;
+            };
+            let version = Name::from(document::MODEL_VERSION);
+            let servers = self.servers.iter_mut();
+            for server in servers.filter(|server| server.shape.pool.as_str() == pool.name) {
+                server.hold(model.clone(), version.clone());
+            }
+        }
+    }
+
+    /// Tells a host which models an engine can serve, as its poll of the engine does.
+    fn tell_models(&mut self, number: usize, host: Process, lag_ms: u64) {
+        if !self.plan.document.has_model {
+            return;
+        }
+        let server = &self.servers[number];
+        let loaded = server.report().models;
+        let models = loaded.into_iter().filter(|it| it.ready).map(|it| it.model);
+        let event = node::Event::Server {
+            pool: server.shape.pool.clone(),
+            event: routing::Event::Models {
+                server: server.shape.name.clone(),
+                models: models.collect(),
+            },
+        };
+        self.driver.put(lag_ms, host, Event::Node(Box::new(event)));
+    }
+
     pub(super) fn order_arrives(&mut self, process: Process, host: Process, order: &Order) {
         let number = self.server_number(process);
         let outcome = self.servers[number].order(order);
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -116,6 +116,7 @@
         "answered": count(|it| it.answered),
         "not_run": count(|it| it.not_run),
         "may_have_run": count(|it| it.may_have_run),
+        "engine_orders": count(|it| it.engine_orders),
         "violations": violations,
         "fingerprint": format!("{fingerprint:016x}"),
         "faults": faults,
--- a/examples/soak/run.rs
+++ b/examples/soak/run.rs
@@ -64,6 +64,8 @@
     pub not_run: u64,
     /// Requests whose callers heard that they may have run.
     pub may_have_run: u64,
+    /// Decisions on orders to engines.
+    pub engine_orders: u64,
     /// Fingerprint of the run.
     pub fingerprint: u64,
 }
@@ -108,7 +110,10 @@
             server_fail_permille: 10,
             change_every_ms: 5_000,
         },
-        document: Shape::co_operative(),
+        document: Shape {
+            has_model: true,
+            ..Shape::co_operative()
+        },
         encode_frames: false,
         trace: options.trace,
     }
@@ -153,6 +158,7 @@
         events: world.driver.events,
         virtual_ms: world.driver.now().as_ms(),
         requests: world.callers.asked.len() as u64,
+        engine_orders: world.decisions.get("order").copied().unwrap_or(0),
         fingerprint: world.fingerprint(),
         trace: std::mem::take(&mut world.trace),
         ..Outcome::default()
--- a/src/core/mutation/mod.rs
+++ b/src/core/mutation/mod.rs
@@ -27,6 +27,8 @@
     TakeWholeShare,
     /// A host serves before its state is as new as what was accepted before it started.
     ServeEarly,
+    /// A controller forgets to send its orders.
+    DropOrders,
     /// A host gives a change the newest base in place of the one that its operator saw.
     Rebase,
 }
@@ -42,6 +44,7 @@
     ("ignore_age", Mutation::IgnoreAge),
     ("take_whole_share", Mutation::TakeWholeShare),
     ("serve_early", Mutation::ServeEarly),
+    ("drop_orders", Mutation::DropOrders),
     ("rebase", Mutation::Rebase),
 ];
 
--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -308,6 +308,7 @@
         let claims = &self.replica.state().claims;
         for action in self.controller.step(now, &view, claims, event) {
             match action {
+                orders::Action::Order(_) if self.mutation.is(Mutation::DropOrders) => {}
                 orders::Action::Order(order) => out.push(Action::Order(order)),
                 orders::Action::Read { pool, server } => {
                     out.push(Action::ReadEngine { pool, server });
