--- /dev/null
+++ b/src/core/gateway/balance.rs
@@ -0,0 +1,268 @@
+//! Which server a request goes to.
+
+use std::collections::HashMap;
+
+use super::{
+    rate,
+    servers::{
+        self,
+        Server, //
+    },
+};
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Time for which a server is avoided after a failure, in milliseconds. It doubles with each further
+/// failure in a row.
+const AVOID_MS: u64 = 500;
+
+/// Longest time for which a server is avoided, in milliseconds.
+const MAX_AVOID_MS: u64 = 4_000;
+
+/// Time for which a part of a prompt is taken to be cached at the server that read it last, in
+/// milliseconds.
+const CACHED_MS: u64 = 20_000;
+
+/// Parts of prompts that are remembered, over all servers.
+const MAX_CACHED: usize = 16_384;
+
+/// Tokens that a running request counts as: its decoding slows down prompts beside it.
+const RUNNING_TOKENS: u64 = 400;
+
+/// Tokens that a server in another region has to be better by: two long ways there and back.
+const FAR_TOKENS: u64 = 12_000;
+
+/// A part of a prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its id.
+    pub id: Name,
+    /// Its size, in tokens.
+    pub tokens: u64,
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// Parts of the prompt in their order, none for plain requests.
+    pub prompt: &'a [Part],
+    /// Servers that were tried before.
+    pub tried: &'a [Name],
+    /// Requests a second that a cold server takes from all hosts, 0 for no limit.
+    pub cold_per_s: f64,
+    /// Hosts that share the server.
+    pub hosts: usize,
+    /// Hosts in this data centre, which mostly use the same servers.
+    pub near_hosts: usize,
+}
+
+/// Why no server is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The service has no server that may be used.
+    #[error("no server may be used")]
+    NoServer,
+    /// All servers have what they can take now.
+    #[error("all servers are full")]
+    Full,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    running: u32,
+    prompt_tokens: u64,
+    failures: u32,
+    avoid_until: Instant,
+}
+
+/// A request at a server, to be given back when it ends.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The server.
+    pub server: Name,
+    /// Tokens of the prompt that it has to read.
+    pub tokens: u64,
+    is_reading: bool,
+}
+
+/// What this host has running where, and how it went.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    loads: HashMap<Name, Load>,
+    cached: HashMap<(Name, Name), Instant>,
+    meter: rate::Meter,
+}
+
+/// Whether a server may be used for a request, by the regions in which that is allowed.
+pub type Allowed<'a> = &'a dyn Fn(&Server) -> bool;
+
+impl Balancer {
+    /// Chooses a server and counts the request there.
+    ///
+    /// The load pattern: bursts of long prompts that share parts. A prompt goes where its parts are
+    /// cached, unless the prompts that wait there would take longer than reading it anew elsewhere.
+    /// All hosts find the same first choice by hashing, without asking each other.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] where none may take it.
+    pub fn place(
+        &mut self,
+        now: Instant,
+        table: &servers::Table,
+        ask: &Ask<'_>,
+        is_allowed: Allowed<'_>,
+        is_near: Allowed<'_>,
+    ) -> Result<Placed, Error> {
+        let mut best: Option<(u64, u64, &Server, u64)> = None;
+        let mut any = false;
+        let first = self.first_choice(table, ask, is_allowed, is_near);
+        for server in table.usable(ask.service) {
+            if !is_allowed(server) || ask.tried.contains(&server.entry.id) {
+                continue;
+            }
+            any = true;
+            let id = &server.entry.id;
+            if !self.meter.allows(now, id, ask.cold_per_s, ask.hosts) {
+                continue;
+            }
+            let load = self.loads.get(id).copied().unwrap_or_default();
+            let slots = u64::from(server.entry.slots.max(1));
+            let near_hosts = ask.near_hosts.max(1) as u64;
+            let tokens = if first.as_ref() == Some(id) {
+                ask.prompt.last().map_or(0, |part| part.tokens)
+            } else {
+                self.missing_tokens(now, id, ask.prompt)
+            };
+            let running = u64::from(load.running) * near_hosts;
+            let mut cost = load.prompt_tokens * near_hosts + tokens;
+            if ask.prompt.is_empty() {
+                // Plain requests: queues differ by the part of the slots that is taken.
+                cost += running * FAR_TOKENS / slots;
+            } else {
+                cost += running * RUNNING_TOKENS;
+            }
+            if running >= slots {
+                cost += FAR_TOKENS * 2 * (running - slots + 1);
+            }
+            if !is_near(server) {
+                cost += FAR_TOKENS;
+            }
+            if now < server.cold_until && !ask.prompt.is_empty() {
+                cost += FAR_TOKENS / 2;
+            }
+            if now < load.avoid_until {
+                cost += FAR_TOKENS * 8;
+            }
+            let tie = hash(&[id, ask.prompt.first().map_or("", |part| &part.id)]);
+            if best
+                .as_ref()
+                .is_none_or(|&(lowest, its_tie, _, _)| (cost, tie) < (lowest, its_tie))
+            {
+                best = Some((cost, tie, server, tokens));
+            }
+        }
+        let Some((_, _, server, tokens)) = best else {
+            return Err(if any { Error::Full } else { Error::NoServer });
+        };
+        let id = server.entry.id.clone();
+        self.count(now, &id, tokens, ask.prompt);
+        Ok(Placed {
+            server: id,
+            tokens,
+            is_reading: true,
+        })
+    }
+
+    fn count(&mut self, now: Instant, id: &Name, tokens: u64, prompt: &[Part]) {
+        let load = self.loads.entry(id.clone()).or_default();
+        load.running += 1;
+        load.prompt_tokens += tokens;
+        self.meter.sent(now, id);
+        if self.cached.len() + prompt.len() > MAX_CACHED {
+            self.cached
+                .retain(|_, &mut at| now.since_ms(at) < CACHED_MS / 4);
+        }
+        for part in prompt.iter().rev().skip(1) {
+            self.cached.insert((id.clone(), part.id.clone()), now);
+        }
+    }
+
+    fn first_choice(
+        &self,
+        table: &servers::Table,
+        ask: &Ask<'_>,
+        is_allowed: Allowed<'_>,
+        is_near: Allowed<'_>,
+    ) -> Option<Name> {
+        // The last part is the request's own, the one before it what requests share.
+        let shared = ask.prompt.iter().rev().nth(1)?;
+        table
+            .usable(ask.service)
+            .filter(|server| is_allowed(server) && is_near(server))
+            .max_by_key(|server| hash(&[&server.entry.id, &shared.id]))
+            .map(|server| server.entry.id.clone())
+    }
+
+    fn missing_tokens(&self, now: Instant, id: &Name, prompt: &[Part]) -> u64 {
+        let is_cached = |part: &Part| {
+            let at = self.cached.get(&(id.clone(), part.id.clone()));
+            at.is_some_and(|&at| now.since_ms(at) < CACHED_MS)
+        };
+        let missing = prompt.iter().skip_while(|part| is_cached(part));
+        missing.map(|part| part.tokens).sum()
+    }
+
+    /// Notes that the prompt was read: the first event came.
+    pub fn read(&mut self, placed: &mut Placed) {
+        if !std::mem::take(&mut placed.is_reading) {
+            return;
+        }
+        if let Some(load) = self.loads.get_mut(&placed.server) {
+            load.prompt_tokens = load.prompt_tokens.saturating_sub(placed.tokens);
+        }
+    }
+
+    /// Notes the end of a request. `failed` says that the server was at fault.
+    pub fn ended(&mut self, now: Instant, mut placed: Placed, failed: bool) {
+        self.read(&mut placed);
+        let Some(load) = self.loads.get_mut(&placed.server) else {
+            return;
+        };
+        load.running = load.running.saturating_sub(1);
+        if failed {
+            load.failures = (load.failures + 1).min(8);
+            let avoid_ms = (AVOID_MS << (load.failures - 1).min(4)).min(MAX_AVOID_MS);
+            load.avoid_until = now.after_ms(avoid_ms);
+        } else {
+            load.failures = load.failures.saturating_sub(1);
+        }
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&mut self, id: &Name) {
+        if self.loads.get(id).is_some_and(|load| load.running == 0) {
+            self.loads.remove(id);
+        }
+        self.meter.forget(id);
+    }
+
+    /// Returns the requests of this host that run at a server.
+    pub fn running(&self, id: &str) -> u32 {
+        self.loads.get(id).map_or(0, |load| load.running)
+    }
+}
+
+/// Hashes texts, the same on all hosts.
+pub fn hash(texts: &[&str]) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for text in texts {
+        hasher.update(text.as_bytes());
+        hasher.update(&[0xff]);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/src/core/gateway/hosts.rs
@@ -0,0 +1,115 @@
+//! Which entry hosts live, by their heartbeats in the platform's store.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Time between two heartbeats of a host, in milliseconds.
+pub const HEARTBEAT_MS: u64 = 1_200;
+
+/// Silence after which a host counts as gone, in milliseconds: three heartbeats and a read.
+pub const SILENCE_MS: u64 = 4_200;
+
+/// Time for which a host that vanished still counts in shares of limits, in milliseconds. It may be
+/// paused, with requests that it sends as it wakes.
+const SHARE_SILENCE_MS: u64 = 12_000;
+
+/// What a host says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Name of the host.
+    pub host: Name,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where other hosts reach it.
+    pub peers: SocketAddr,
+    /// Where it stands.
+    pub data_centre: Name,
+    /// Region of its data centre.
+    pub region: Name,
+    /// A number that no other life of the host has.
+    pub incarnation: u64,
+    /// Rises with each heartbeat of one life.
+    pub sequence: u64,
+    /// Whether it takes callers.
+    pub serving: bool,
+}
+
+/// A host as it was last heard.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Its last heartbeat.
+    pub beat: Heartbeat,
+    /// When it came, `None` where it was already there when this host started.
+    pub heard: Option<Instant>,
+}
+
+/// All hosts.
+#[derive(Debug, Default)]
+pub struct Table {
+    hosts: BTreeMap<Name, Host>,
+    // Silence while the store was away says nothing, so ages are counted from here at the earliest.
+    store_back: Instant,
+}
+
+impl Table {
+    /// Takes a heartbeat. `is_old` says that it was in the store before this host looked, so that
+    /// its age is unknown.
+    pub fn heard(&mut self, now: Instant, beat: Heartbeat, is_old: bool) -> bool {
+        let known = self.hosts.get(&beat.host);
+        let same = |host: &Host| {
+            host.beat.incarnation == beat.incarnation && host.beat.sequence == beat.sequence
+        };
+        if known.is_some_and(same) {
+            return false;
+        }
+        let is_new = known.is_none_or(|host| host.beat.serving != beat.serving);
+        let heard = if is_old && known.is_none() {
+            None
+        } else {
+            Some(now)
+        };
+        self.hosts.insert(beat.host.clone(), Host { beat, heard });
+        is_new
+    }
+
+    /// Notes that the store answered again after a time without answers.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.store_back = now;
+    }
+
+    fn silence_ms(&self, now: Instant, host: &Host) -> Option<u64> {
+        let heard = host.heard?;
+        Some(now.since_ms(heard.max(self.store_back)))
+    }
+
+    /// Returns the hosts that live.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &Host> {
+        self.hosts.values().filter(move |host| {
+            self.silence_ms(now, host)
+                .is_some_and(|silence| silence < SILENCE_MS)
+        })
+    }
+
+    /// Returns the number of hosts among which limits of servers are shared, at least one.
+    pub fn sharers(&self, now: Instant) -> usize {
+        let hosts = self.hosts.values();
+        let count = hosts.filter(|host| match self.silence_ms(now, host) {
+            Some(silence) => silence < SHARE_SILENCE_MS,
+            // It was there before this host started, and may be there still.
+            None => now.as_ms() < SHARE_SILENCE_MS,
+        });
+        count.count().max(1)
+    }
+}
--- /dev/null
+++ b/src/core/gateway/mod.rs
@@ -0,0 +1,16 @@
+//! Decisions of an entry host that forwards plain HTTP requests: see `docs/platform-design.md`.
+//!
+//! Each part is fed the time and what happened and answers what to do. Sockets, clocks and tasks
+//! are in [`crate::shell::gateway`].
+
+pub mod answer;
+pub mod balance;
+pub mod batch;
+pub mod budget;
+pub mod config;
+pub mod hosts;
+pub mod lookup;
+pub mod plan;
+pub mod rate;
+pub mod servers;
+pub mod stream;
--- /dev/null
+++ b/src/core/gateway/plan.rs
@@ -0,0 +1,159 @@
+//! The stages of one request: which pieces can run, and whose results the request needs.
+
+use super::config::{
+    Config,
+    Role,
+    Stage, //
+};
+use crate::names::Name;
+
+/// Most pieces of one request, over all stages.
+const MAX_PIECES: usize = 512;
+
+/// What a piece works on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// The request's own input, by its key.
+    Key(Name),
+    /// Results of other pieces, by their handles.
+    Results(Vec<Name>),
+}
+
+/// Why a request's stages can't be planned.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The counts of pieces don't fit the stages.
+    #[error("{counts} counts of pieces for {stages} stages")]
+    Counts {
+        /// Counts that came.
+        counts: usize,
+        /// Stages of the route.
+        stages: usize,
+    },
+    /// There are more pieces than the limit.
+    #[error("{pieces} pieces, limit {MAX_PIECES}")]
+    TooMany {
+        /// Pieces asked for.
+        pieces: usize,
+    },
+    /// A stage has to wait for itself.
+    #[error("stages wait for each other")]
+    Circle,
+}
+
+/// Progress of the stages of one request.
+#[derive(Debug)]
+pub struct Plan {
+    stages: Vec<Stage>,
+    counts: Vec<usize>,
+    key: Name,
+    results: Vec<Option<Vec<Name>>>,
+    started: Vec<bool>,
+}
+
+impl Plan {
+    /// Makes a plan for a request with so many pieces in each stage. 0 leaves a stage out.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] where the counts don't fit.
+    pub fn new(stages: &[Stage], counts: &[usize], key: Name) -> Result<Self, Error> {
+        if counts.len() != stages.len() {
+            return Err(Error::Counts {
+                counts: counts.len(),
+                stages: stages.len(),
+            });
+        }
+        let pieces = counts
+            .iter()
+            .fold(0, |sum: usize, &n| sum.saturating_add(n));
+        if pieces > MAX_PIECES {
+            return Err(Error::TooMany { pieces });
+        }
+        for (index, stage) in stages.iter().enumerate() {
+            // Stages are listed after those that they need.
+            if stage.after.iter().any(|&before| before >= index) {
+                return Err(Error::Circle);
+            }
+        }
+        Ok(Self {
+            stages: stages.to_vec(),
+            counts: counts.to_vec(),
+            key,
+            results: counts
+                .iter()
+                .map(|&n| if n == 0 { Some(Vec::new()) } else { None })
+                .collect(),
+            started: counts.iter().map(|&n| n == 0).collect(),
+        })
+    }
+
+    /// Returns the stages that can start now, with what their pieces work on.
+    pub fn start(&mut self) -> Vec<(usize, usize, Input)> {
+        let mut ready = Vec::new();
+        for (index, stage) in self.stages.iter().enumerate() {
+            if self.started[index] {
+                continue;
+            }
+            let before: Option<Vec<&Vec<Name>>> = stage
+                .after
+                .iter()
+                .map(|&before| self.results[before].as_ref())
+                .collect();
+            let Some(before) = before else { continue };
+            self.started[index] = true;
+            let inputs: Vec<Name> = before.into_iter().flatten().cloned().collect();
+            let input = if inputs.is_empty() {
+                Input::Key(self.key.clone())
+            } else {
+                Input::Results(inputs)
+            };
+            ready.push((index, self.counts[index], input));
+        }
+        ready
+    }
+
+    /// Takes the results of all pieces of a stage.
+    pub fn finish(&mut self, stage: usize, results: Vec<Name>) {
+        self.results[stage] = Some(results);
+    }
+
+    /// Returns whether all stages are done.
+    pub fn is_done(&self) -> bool {
+        self.results.iter().all(Option::is_some)
+    }
+
+    /// Returns the results that the request itself needs: those that no other stage took.
+    pub fn inputs(&self) -> Vec<Name> {
+        let is_needed = |index: usize| self.stages.iter().any(|stage| stage.after.contains(&index));
+        let last = (0..self.stages.len()).filter(|&index| !is_needed(index));
+        last.filter_map(|index| self.results[index].as_ref())
+            .flatten()
+            .cloned()
+            .collect()
+    }
+
+    /// Returns all results, to be freed once they aren't needed.
+    pub fn results(&self) -> Vec<Name> {
+        self.results.iter().flatten().flatten().cloned().collect()
+    }
+}
+
+/// Returns the time that stages after one take at least, in milliseconds, with half of a call more
+/// for each, since a piece mostly waits for a call that runs.
+pub fn after_ms(stages: &[Stage], stage: usize, config: &Config) -> u64 {
+    let following = stages.iter().enumerate();
+    let following = following.filter(|(_, other)| other.after.contains(&stage));
+    let time = |(index, other): (usize, &Stage)| {
+        let own_ms = match config
+            .services
+            .get(&other.service)
+            .map(|service| service.role)
+        {
+            Some(Role::Stages(stages)) => stages.call_ms * 1.5,
+            _ => 0.0,
+        };
+        own_ms as u64 + after_ms(stages, index, config)
+    };
+    following.map(time).max().unwrap_or(0)
+}
--- /dev/null
+++ b/src/core/gateway/rate.rs
@@ -0,0 +1,51 @@
+//! This host's share of the rate that a cold server takes from all hosts together.
+
+use std::collections::{
+    HashMap,
+    VecDeque, //
+};
+
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Span in which requests are counted, in milliseconds.
+const SPAN_MS: u64 = 1_000;
+
+/// Requests that were sent to each server within the last second.
+///
+/// Any server may be cold without anyone knowing yet, so the bound holds for all of them at all
+/// times. The pattern that it answers: a data centre comes back and every host sends there at once.
+#[derive(Debug, Default)]
+pub struct Meter {
+    sent: HashMap<Name, VecDeque<Instant>>,
+}
+
+impl Meter {
+    /// Returns whether one more request to a server keeps to `per_s` over all of `hosts`.
+    pub fn allows(&mut self, now: Instant, server: &Name, per_s: f64, hosts: usize) -> bool {
+        if per_s <= 0.0 {
+            return true;
+        }
+        let Some(sent) = self.sent.get_mut(server) else {
+            return true;
+        };
+        while sent.front().is_some_and(|&at| now.since_ms(at) >= SPAN_MS) {
+            sent.pop_front();
+        }
+        // A host always has one request a second, or the last of many hosts would serve nothing.
+        let share = (per_s / hosts as f64).max(1.0);
+        (sent.len() as f64) + 1.0 <= share
+    }
+
+    /// Counts a request.
+    pub fn sent(&mut self, now: Instant, server: &Name) {
+        self.sent.entry(server.clone()).or_default().push_back(now);
+    }
+
+    /// Forgets a server that is gone.
+    pub fn forget(&mut self, server: &str) {
+        self.sent.remove(server);
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod decision;
 pub mod document;
+pub mod gateway;
 pub mod host;
 pub mod log;
 pub mod membership;
--- a/src/edges/mod.rs
+++ b/src/edges/mod.rs
@@ -29,6 +29,7 @@
     names::Name,
 };
 
+pub mod gateway;
 pub mod http;
 
 /// A future of one thread.
--- /dev/null
+++ b/src/options/gateway.rs
@@ -0,0 +1,86 @@
+//! Settings of a gateway: where it stands, what it listens on, what bounds it.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::names::Name;
+
+/// Settings of one gateway.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Options {
+    /// Name of the host, which survives restarts.
+    pub host: Name,
+    /// Data centre in which the host stands.
+    pub data_centre: Name,
+    /// Regions by data centre.
+    pub regions: BTreeMap<Name, Name>,
+    /// Addresses.
+    pub listen: Listen,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Limits of the process.
+    pub process: Process,
+    /// Bounds that the operators set.
+    pub bounds: Bounds,
+}
+
+/// Addresses on which a gateway listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For questions whether the host is ready.
+    pub ready: SocketAddr,
+    /// For questions which hosts to use.
+    pub lookup: SocketAddr,
+    /// For other hosts.
+    pub peers: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Limits of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Process {
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub descriptors: u64,
+}
+
+/// Bounds that the operators set.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Bounds {
+    /// Time between SIGTERM and SIGKILL, in milliseconds.
+    pub grace_ms: u64,
+    /// Longest time for which callers keep an answer to a lookup, in milliseconds.
+    pub lookup_keep_ms: u64,
+    /// Repeats for each first request to a service.
+    pub retry_ratio: f64,
+    /// Repeats on top, for all hosts together.
+    pub retry_slack: f64,
+    /// Span in which repeats are counted, in milliseconds.
+    pub retry_window_ms: u64,
+    /// Factor by which a cold server's rate may be exceeded.
+    pub cold_factor: f64,
+}
+
+impl Options {
+    /// Returns the region of this host.
+    pub fn region(&self) -> Name {
+        self.region_of(&self.data_centre)
+    }
+
+    /// Returns the region of a data centre. One that isn't listed is a region of its own.
+    pub fn region_of(&self, data_centre: &Name) -> Name {
+        let region = self.regions.get(data_centre);
+        region.unwrap_or(data_centre).clone()
+    }
+}
--- a/src/options/mod.rs
+++ b/src/options/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 pub mod config;
+pub mod gateway;
 
 use std::path::PathBuf;
 
--- /dev/null
+++ b/src/shell/gateway/clock.rs
@@ -0,0 +1,35 @@
+//! The clock that also counts while the host is suspended.
+
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
+
+use crate::time::Instant;
+
+/// Milliseconds since the process started, with suspensions counted.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start_ms: u64,
+}
+
+impl Clock {
+    /// Starts a clock at the origin.
+    pub fn start() -> Self {
+        Self {
+            start_ms: boot_ms(),
+        }
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Instant {
+        Instant::from_ms(boot_ms().saturating_sub(self.start_ms))
+    }
+}
+
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * 1_000 + nanoseconds / 1_000_000
+}
--- /dev/null
+++ b/src/shell/gateway/mod.rs
@@ -0,0 +1,286 @@
+//! The gateway's sockets and tasks: see `docs/platform-design.md`.
+//!
+//! One thread runs everything, since an entry host has a part of one core. State that tasks share is
+//! in cells that are never borrowed across a wait.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use anyhow::Context;
+use ntex::rt::{
+    DefaultRuntime,
+    System, //
+};
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+use crate::{
+    core::gateway::{
+        balance::Balancer,
+        budget::{
+            Allowance,
+            Budget, //
+        },
+        config::Config,
+        hosts,
+        servers, //
+    },
+    edges::gateway::Adapter,
+    names::Name,
+    options::{
+        config::LogLevel,
+        gateway::Options, //
+    },
+    shell::logging,
+    time::Instant,
+};
+
+mod clock;
+mod forward;
+mod front;
+mod log;
+mod metrics;
+mod net;
+mod peers;
+mod stages;
+mod store;
+mod upstream;
+
+use clock::Clock;
+use log::{
+    Event,
+    Log, //
+};
+use metrics::Metrics;
+
+/// Time between two ticks, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// Time without a tick after which the process counts as paused, in milliseconds.
+const PAUSE_MS: u64 = 1_000;
+
+/// Time after SIGTERM in which new connections are still taken, in milliseconds. Callers that looked
+/// up addresses just before still come.
+const LINGER_MS: u64 = 2_500;
+
+/// Time before SIGKILL at which the process ends by itself, in milliseconds.
+const LAST_MS: u64 = 350;
+
+/// Reads the settings.
+pub type ReadOptions = Box<dyn Fn() -> anyhow::Result<Options>>;
+
+/// All that the tasks of a gateway share.
+pub(crate) struct Gateway {
+    options: RefCell<Options>,
+    adapter: Arc<dyn Adapter>,
+    clock: Clock,
+    log: Log,
+    metrics: Metrics,
+    config: RefCell<Option<Rc<Config>>>,
+    servers: RefCell<servers::Table>,
+    hosts: RefCell<hosts::Table>,
+    balancer: RefCell<Balancer>,
+    budget: RefCell<Budget>,
+    queues: RefCell<HashMap<Name, Rc<stages::Gatherer>>>,
+    unneeded: stages::Unneeded,
+    pool: Rc<upstream::Pool>,
+    store: store::State,
+    /// Requests and connections that run.
+    running: Cell<usize>,
+    /// When SIGTERM came.
+    leaving: Cell<Option<Instant>>,
+    left: tokio::sync::watch::Sender<bool>,
+    own: Own,
+}
+
+/// Who this host is, as it doesn't change while the process runs.
+struct Own {
+    host: Name,
+    data_centre: Name,
+    region: Name,
+}
+
+impl Gateway {
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Returns the number of hosts that share limits of servers.
+    fn sharers(&self) -> usize {
+        self.hosts.borrow().sharers(self.now())
+    }
+
+    /// Returns the number of hosts in this data centre.
+    fn near_hosts(&self) -> usize {
+        let hosts = self.hosts.borrow();
+        let near = hosts
+            .live(self.now())
+            .filter(|host| host.beat.data_centre == self.own.data_centre);
+        near.count().max(1)
+    }
+
+    fn region_of(&self, data_centre: &Name) -> Name {
+        self.options.borrow().region_of(data_centre)
+    }
+
+    /// Returns whether this host can serve callers.
+    fn is_ready(&self) -> bool {
+        self.leaving.get().is_none()
+            && self.config.borrow().is_some()
+            && self.store.has_servers.get()
+    }
+}
+
+/// Runs a gateway until it is asked to stop.
+///
+/// # Errors
+///
+/// Where the settings are wrong or an address can't be bound.
+pub fn run(adapter: Arc<dyn Adapter>, read: ReadOptions) -> anyhow::Result<()> {
+    let options = read()?;
+    let system = System::new("gateway", DefaultRuntime);
+    system.block_on(serve(adapter, options, read))
+}
+
+async fn serve(
+    adapter: Arc<dyn Adapter>,
+    options: Options,
+    read: ReadOptions, //
+) -> anyhow::Result<()> {
+    let gateway = open(adapter, options)?;
+    let own = &gateway.own;
+    gateway.log.write(&Event::Start {
+        host: &own.host,
+        data_centre: &own.data_centre,
+    });
+    let listeners = front::bind(&gateway)?;
+    store::spawn(&gateway);
+    front::spawn(&gateway, listeners);
+    tokio::task::spawn_local(tick(gateway.clone()));
+    tokio::task::spawn_local(reload(gateway.clone(), read));
+    let mut terminate = signal(SignalKind::terminate()).context("can't catch SIGTERM")?;
+    terminate.recv().await;
+    leave(&gateway).await;
+    Ok(())
+}
+
+fn open(adapter: Arc<dyn Adapter>, options: Options) -> anyhow::Result<Rc<Gateway>> {
+    let clock = Clock::start();
+    let bounds = options.bounds;
+    let budget = Budget::new(Allowance {
+        ratio: bounds.retry_ratio,
+        slack: bounds.retry_slack,
+        window_ms: bounds.retry_window_ms,
+    });
+    let own = Own {
+        host: options.host.clone(),
+        data_centre: options.data_centre.clone(),
+        region: options.region(),
+    };
+    let logger = logging::open(std::io::stdout(), LogLevel::Info);
+    Ok(Rc::new(Gateway {
+        options: RefCell::new(options),
+        adapter,
+        clock,
+        log: Log::new(logger, clock),
+        metrics: Metrics::open()?,
+        config: RefCell::default(),
+        servers: RefCell::default(),
+        hosts: RefCell::default(),
+        balancer: RefCell::default(),
+        budget: RefCell::new(budget),
+        queues: RefCell::default(),
+        unneeded: stages::Unneeded::default(),
+        pool: upstream::Pool::new(clock),
+        store: store::State::default(),
+        running: Cell::default(),
+        leaving: Cell::default(),
+        left: tokio::sync::watch::Sender::new(false),
+        own,
+    }))
+}
+
+/// Does what falls due with time, and notices when the process stood still.
+async fn tick(gateway: Rc<Gateway>) {
+    let mut last = gateway.now();
+    loop {
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        let now = gateway.now();
+        let gap_ms = now.since_ms(last);
+        if gap_ms > PAUSE_MS {
+            gateway.log.write(&Event::Paused { ms: gap_ms });
+        }
+        last = now;
+        let gone = gateway.servers.borrow_mut().expire(now);
+        for id in &gone {
+            gateway.balancer.borrow_mut().forget(id);
+            gateway.log.write(&Event::Server { id, change: "gone" });
+        }
+        gateway.pool.sweep();
+        stages::tick(&gateway);
+    }
+}
+
+/// Reads the settings again at SIGHUP.
+async fn reload(gateway: Rc<Gateway>, read: ReadOptions) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            let error = Some(error.to_string());
+            return gateway.log.write(&Event::Reload { error });
+        }
+    };
+    while hangup.recv().await.is_some() {
+        let error = match read() {
+            Ok(options) => {
+                *gateway.options.borrow_mut() = options;
+                None
+            }
+            Err(error) => Some(format!("{error:#}")),
+        };
+        gateway.log.write(&Event::Reload { error });
+    }
+}
+
+/// Leaves: takes no new callers, and ends once nothing runs.
+async fn leave(gateway: &Rc<Gateway>) {
+    let now = gateway.now();
+    gateway.leaving.set(Some(now));
+    let running = gateway.running.get();
+    gateway.log.write(&Event::Stop {
+        step: "leaving",
+        running,
+    });
+    let grace_ms = gateway.options.borrow().bounds.grace_ms;
+    let last = now.after_ms(grace_ms.saturating_sub(LAST_MS));
+    store::say_leaving(gateway).await;
+    // From here on connections close after the answer that they wait for.
+    let _ = gateway.left.send(true);
+    while gateway.now() < last {
+        let lingered = gateway.now().since_ms(now) >= LINGER_MS;
+        if lingered && gateway.running.get() == 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    gateway.log.write(&Event::Stop {
+        step: "end",
+        running: gateway.running.get(),
+    });
+    // Time for the log's thread to write its last lines.
+    tokio::time::sleep(Duration::from_millis(30)).await;
+}
--- /dev/null
+++ b/src/shell/gateway/net.rs
@@ -0,0 +1,79 @@
+//! Sockets with the options that every connection of the gateway has.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use socket2::{
+    Domain,
+    Protocol,
+    SockRef,
+    Socket,
+    TcpKeepalive,
+    Type, //
+};
+use tokio::net::{
+    TcpListener,
+    TcpSocket,
+    TcpStream, //
+};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Time for which sent bytes may stay without an acknowledgement, in milliseconds. A peer that lost
+/// power or is behind a partition says nothing, and this tells it from one that takes its time.
+const UNACKNOWLEDGED_MS: u64 = 1_500;
+
+/// Silence after which a connection is probed, and time between probes, in seconds.
+const PROBE_S: u64 = 1;
+
+/// Probes without an answer after which a connection is dead.
+const PROBES: u32 = 2;
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Where the address can't be bound.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Connects within a time.
+///
+/// # Errors
+///
+/// Where the peer can't be reached in time.
+pub async fn connect(address: SocketAddr, limit_ms: u64) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    let limit = Duration::from_millis(limit_ms);
+    let stream = tokio::time::timeout(limit, socket.connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    prepare(&stream)?;
+    Ok(stream)
+}
+
+/// Sets the options of a connection.
+///
+/// # Errors
+///
+/// Where the system refuses one.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MS)))?;
+    let probes = TcpKeepalive::new()
+        .with_time(Duration::from_secs(PROBE_S))
+        .with_interval(Duration::from_secs(PROBE_S))
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/src/shell/gateway/peers.rs
@@ -0,0 +1,205 @@
+//! What hosts ask each other: to run pieces of stages with others' in full calls.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    Gateway,
+    upstream::{
+        self,
+        Reuse, //
+    },
+};
+use crate::{
+    core::gateway::{
+        batch::Piece,
+        plan::Input, //
+    },
+    edges::gateway::Failure,
+    names::Name,
+    time::Instant,
+};
+
+/// Path of the call by which a host runs pieces for another.
+pub(super) const PIECES_PATH: &str = "/v1/pieces";
+
+/// Largest body of a call between hosts, in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Pieces to run, all of one stage of one request. Times are ages, since clocks of two hosts can't
+/// be compared.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Ask {
+    pub(super) service: Name,
+    request: Name,
+    stage: u32,
+    pieces: u32,
+    input: WireInput,
+    wanted_in_ms: i64,
+    deadline_in_ms: i64,
+    after_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum WireInput {
+    Key(Name),
+    Results(Vec<Name>),
+}
+
+/// How the pieces went.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Reply {
+    /// Their results, in order.
+    Results(Vec<Name>),
+    /// One failed.
+    Failed(WireFailure),
+}
+
+/// Why a piece failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum WireFailure {
+    Late,
+    InputGone,
+    NoRoom,
+    Failed,
+}
+
+impl From<Failure> for WireFailure {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Late => Self::Late,
+            Failure::InputGone => Self::InputGone,
+            Failure::NoRoom => Self::NoRoom,
+            Failure::Failed => Self::Failed,
+        }
+    }
+}
+
+impl From<WireFailure> for Failure {
+    fn from(failure: WireFailure) -> Self {
+        match failure {
+            WireFailure::Late => Self::Late,
+            WireFailure::InputGone => Self::InputGone,
+            WireFailure::NoRoom => Self::NoRoom,
+            WireFailure::Failed => Self::Failed,
+        }
+    }
+}
+
+/// Why a host gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Error {
+    /// It can't be reached, or its answer broke off.
+    #[error("{0}")]
+    Upstream(#[from] upstream::Error),
+    /// It said nothing in time.
+    #[error("no answer within {0} ms")]
+    Silent(u64),
+    /// Its answer isn't understood.
+    #[error("answer not understood: {0}")]
+    Malformed(String),
+}
+
+fn in_ms(now: Instant, then: Instant) -> i64 {
+    let ahead = i64::try_from(then.since_ms(now)).unwrap_or(i64::MAX);
+    let behind = i64::try_from(now.since_ms(then)).unwrap_or(i64::MAX);
+    ahead - behind
+}
+
+fn at_ms(now: Instant, in_ms: i64) -> Instant {
+    let ms = in_ms.unsigned_abs();
+    if in_ms >= 0 {
+        now.after_ms(ms)
+    } else {
+        now.before_ms(ms)
+    }
+}
+
+impl Ask {
+    /// Makes the message from pieces that differ by their index alone.
+    pub(super) fn new(now: Instant, service: &Name, pieces: &[Piece]) -> Option<Self> {
+        let first = pieces.first()?;
+        Some(Self {
+            service: service.clone(),
+            request: first.request.clone(),
+            stage: u32::try_from(first.stage).ok()?,
+            pieces: u32::try_from(pieces.len()).ok()?,
+            input: match &first.input {
+                Input::Key(key) => WireInput::Key(key.clone()),
+                Input::Results(results) => WireInput::Results(results.clone()),
+            },
+            wanted_in_ms: in_ms(now, first.wanted),
+            deadline_in_ms: in_ms(now, first.deadline),
+            after_ms: first.after_ms,
+        })
+    }
+
+    /// Returns the pieces.
+    pub(super) fn pieces(self, now: Instant) -> Vec<Piece> {
+        let input = match self.input {
+            WireInput::Key(key) => Input::Key(key),
+            WireInput::Results(results) => Input::Results(results),
+        };
+        let pieces = 0..self.pieces as usize;
+        let piece = |index| Piece {
+            request: self.request.clone(),
+            stage: self.stage as usize,
+            index,
+            input: input.clone(),
+            wanted: at_ms(now, self.wanted_in_ms),
+            deadline: at_ms(now, self.deadline_in_ms),
+            after_ms: self.after_ms,
+        };
+        pieces.map(piece).collect()
+    }
+}
+
+/// Asks a host to run pieces.
+pub(super) async fn run_pieces(
+    gateway: &Gateway,
+    address: SocketAddr,
+    ask: &Ask,
+    limit_ms: u64,
+) -> Result<Reply, Error> {
+    let malformed = |error: &dyn std::fmt::Display| Error::Malformed(error.to_string());
+    let body = postcard::to_allocvec(ask).map_err(|error| malformed(&error))?;
+    let request = Request::post(PIECES_PATH)
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|error| malformed(&error))?;
+    let peer: Name = format!("peer {address}").into();
+    let exchange = async {
+        let (response, lease) = gateway
+            .pool
+            .send(&peer, address, request, Reuse::Any)
+            .await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
+            .collect()
+            .await
+            .map_err(|error| malformed(&error))?
+            .to_bytes();
+        lease.finish();
+        if !status.is_success() {
+            return Err(Error::Malformed(format!("status {status}")));
+        }
+        postcard::from_bytes(&body).map_err(|error| malformed(&error))
+    };
+    let limit = Duration::from_millis(limit_ms);
+    let result = tokio::time::timeout(limit, exchange).await;
+    result.unwrap_or(Err(Error::Silent(limit_ms)))
+}
--- /dev/null
+++ b/src/shell/gateway/stages.rs
@@ -0,0 +1,482 @@
+//! Runs pieces of stages: on this host, or on the one that gathers the calls of a service.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use opentelemetry::KeyValue;
+use tokio::sync::oneshot;
+
+use super::{
+    Gateway,
+    log::Event,
+    peers::{
+        self,
+        Reply, //
+    },
+    upstream::Reuse,
+};
+use crate::{
+    core::gateway::{
+        balance,
+        batch::{
+            Call,
+            Piece,
+            Queue,
+            Ticket, //
+        },
+        config::{
+            Role,
+            Stages, //
+        },
+    },
+    edges::gateway::Failure,
+    names::Name,
+    time::Instant,
+};
+
+/// Factor on the usual time of a call after which its server counts as stuck.
+const STUCK_FACTOR: f64 = 3.0;
+
+/// Time on top of that, in milliseconds: calls that wait at the server and long ways.
+const STUCK_MS: f64 = 500.0;
+
+/// Times that a piece is tried.
+const MAX_TRIES: u32 = 3;
+
+/// Time for which a host isn't asked again after it failed to answer, in milliseconds.
+const AVOID_HOST_MS: u64 = 2_000;
+
+/// Time for which results are gathered before their server is told that they aren't needed, in
+/// milliseconds.
+const FREE_MS: u64 = 100;
+
+/// Largest answer of a server, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+type Waiter = oneshot::Sender<Result<Name, Failure>>;
+
+/// The queue of a service on this host, and who waits for its pieces.
+pub(super) struct Gatherer {
+    service: Name,
+    queue: RefCell<Queue>,
+    waiters: RefCell<HashMap<Ticket, (Waiter, u32)>>,
+    avoided_owner: Cell<Option<Instant>>,
+}
+
+/// Takes pieces out of the queue when nobody waits for them any more.
+struct Cancel<'a> {
+    gatherer: &'a Gatherer,
+    tickets: Vec<Ticket>,
+}
+
+impl Drop for Cancel<'_> {
+    fn drop(&mut self) {
+        for &ticket in &self.tickets {
+            self.gatherer.queue.borrow_mut().cancel(ticket);
+            self.gatherer.waiters.borrow_mut().remove(&ticket);
+        }
+    }
+}
+
+fn gatherer(gateway: &Gateway, service: &Name) -> Rc<Gatherer> {
+    let mut queues = gateway.queues.borrow_mut();
+    let new = || {
+        Rc::new(Gatherer {
+            service: service.clone(),
+            queue: RefCell::default(),
+            waiters: RefCell::default(),
+            avoided_owner: Cell::default(),
+        })
+    };
+    queues.entry(service.clone()).or_insert_with(new).clone()
+}
+
+fn stages_of(gateway: &Gateway, service: &str) -> Option<Stages> {
+    match gateway.config()?.services.get(service)?.role {
+        Role::Stages(stages) => Some(stages),
+        Role::Plain | Role::Engine { .. } => None,
+    }
+}
+
+/// Runs all pieces of one stage of a request, and returns their results in order.
+pub(super) async fn run(
+    gateway: &Rc<Gateway>,
+    service: &Name,
+    pieces: Vec<Piece>,
+) -> Result<Vec<Name>, Failure> {
+    let start = gateway.now();
+    let request = pieces.first().map(|piece| piece.request.clone());
+    let count = pieces.len();
+    let (owner, result) = run_at_owner(gateway, service, pieces).await;
+    let ms = gateway.now().since_ms(start);
+    gateway
+        .metrics
+        .stage_ms
+        .record(ms, &[KeyValue::new("service", service.to_string())]);
+    let outcome = match &result {
+        Ok(_) => "done".to_string(),
+        Err(failure) => format!("{failure:?}"),
+    };
+    gateway.log.write(&Event::Stage {
+        request: request.as_deref().unwrap_or_default(),
+        service,
+        owner: &owner,
+        pieces: count,
+        outcome: &outcome,
+        ms,
+    });
+    result
+}
+
+async fn run_at_owner(
+    gateway: &Rc<Gateway>,
+    service: &Name,
+    pieces: Vec<Piece>,
+) -> (Name, Result<Vec<Name>, Failure>) {
+    let own = gateway.own.host.clone();
+    let Some((owner, address)) = owner(gateway, service) else {
+        return (own, run_here(gateway, service, pieces).await);
+    };
+    let now = gateway.now();
+    let Some(ask) = peers::Ask::new(now, service, &pieces) else {
+        return (own, Ok(Vec::new()));
+    };
+    let limit_ms = owner_limit_ms(gateway, service, now, &pieces);
+    match peers::run_pieces(gateway, address, &ask, limit_ms).await {
+        Ok(Reply::Results(results)) if results.len() == pieces.len() => (owner, Ok(results)),
+        Ok(Reply::Results(_)) => (owner, Err(Failure::Failed)),
+        Ok(Reply::Failed(failure)) => (owner, Err(failure.into())),
+        Err(error) => {
+            let until = gateway.now().after_ms(AVOID_HOST_MS);
+            gatherer(gateway, service).avoided_owner.set(Some(until));
+            gateway.log.write(&Event::Dependency {
+                name: &owner,
+                up: false,
+                why: &error.to_string(),
+            });
+            (own, run_here(gateway, service, pieces).await)
+        }
+    }
+}
+
+/// Returns how long another host may take, in milliseconds. A piece has to wait there and to run.
+fn owner_limit_ms(gateway: &Gateway, service: &str, now: Instant, pieces: &[Piece]) -> u64 {
+    let left_ms = pieces
+        .first()
+        .map_or(0, |piece| piece.deadline.since_ms(now));
+    let usual_ms = stages_of(gateway, service).map_or(0.0, |stages| {
+        stages.call_ms + stages.piece_ms * stages.batch as f64
+    });
+    // Half of what is left stays for running the pieces from here.
+    (left_ms / 2).max((usual_ms * 2.0) as u64)
+}
+
+/// Returns the host that gathers calls of a service in this region, where it is another one.
+fn owner(gateway: &Gateway, service: &Name) -> Option<(Name, SocketAddr)> {
+    let now = gateway.now();
+    let avoided = gatherer(gateway, service).avoided_owner.get();
+    if avoided.is_some_and(|until| now < until) {
+        return None;
+    }
+    let hosts = gateway.hosts.borrow();
+    let near = hosts
+        .live(now)
+        .filter(|host| host.beat.serving && host.beat.region == gateway.own.region);
+    let owner = near.max_by_key(|host| balance::hash(&[&host.beat.host, service]))?;
+    if owner.beat.host == gateway.own.host {
+        return None;
+    }
+    Some((owner.beat.host.clone(), owner.beat.peers))
+}
+
+/// Runs pieces with calls of this host.
+pub(super) async fn run_here(
+    gateway: &Rc<Gateway>,
+    service: &Name,
+    pieces: Vec<Piece>,
+) -> Result<Vec<Name>, Failure> {
+    let gatherer = gatherer(gateway, service);
+    let mut receivers = Vec::with_capacity(pieces.len());
+    let mut cancel = Cancel {
+        gatherer: &gatherer,
+        tickets: Vec::with_capacity(pieces.len()),
+    };
+    let now = gateway.now();
+    for piece in pieces {
+        let ticket = gatherer.queue.borrow_mut().offer(piece);
+        let (sender, receiver) = oneshot::channel();
+        gatherer
+            .waiters
+            .borrow_mut()
+            .insert(ticket, (sender, MAX_TRIES));
+        cancel.tickets.push(ticket);
+        receivers.push(receiver);
+        gateway.budget.borrow_mut().first(now, service);
+    }
+    pump(gateway, &gatherer);
+    let mut results = Vec::with_capacity(receivers.len());
+    for receiver in receivers {
+        // A waiter that is dropped belongs to a call that failed without a word.
+        results.push(receiver.await.unwrap_or(Err(Failure::Failed))?);
+    }
+    Ok(results)
+}
+
+/// Drops what can't be in time, and sends what can be sent.
+fn pump(gateway: &Rc<Gateway>, gatherer: &Rc<Gatherer>) {
+    let Some(stages) = stages_of(gateway, &gatherer.service) else {
+        return;
+    };
+    let now = gateway.now();
+    let lost = gatherer.queue.borrow_mut().expire(now, &stages);
+    for ticket in lost {
+        answer(gatherer, ticket, Err(Failure::Late));
+    }
+    let servers = servers(gateway, &gatherer.service);
+    loop {
+        let call = gatherer.queue.borrow_mut().next(now, &stages, &servers);
+        let Some(call) = call else { break };
+        let gateway = gateway.clone();
+        let gatherer = gatherer.clone();
+        tokio::task::spawn_local(async move {
+            run_call(&gateway, &gatherer, stages, call).await;
+            pump(&gateway, &gatherer);
+        });
+    }
+}
+
+/// Returns the servers of a service that this host uses, the nearest first.
+fn servers(gateway: &Gateway, service: &str) -> Vec<Name> {
+    let table = gateway.servers.borrow();
+    let is_near = |data_centre: &Name| gateway.region_of(data_centre) == gateway.own.region;
+    let near: Vec<Name> = table
+        .usable(service)
+        .filter(|server| is_near(&server.entry.data_centre))
+        .map(|server| server.entry.id.clone())
+        .collect();
+    if !near.is_empty() {
+        return near;
+    }
+    table
+        .usable(service)
+        .map(|server| server.entry.id.clone())
+        .collect()
+}
+
+fn answer(gatherer: &Gatherer, ticket: Ticket, result: Result<Name, Failure>) {
+    if let Some((waiter, _)) = gatherer.waiters.borrow_mut().remove(&ticket) {
+        // Whoever waited may have left meanwhile.
+        let _ = waiter.send(result);
+    }
+}
+
+/// How a call with pieces ended.
+enum End {
+    Results(Vec<Result<Name, Failure>>),
+    NotRun(&'static str),
+    Lost(String),
+}
+
+async fn run_call(gateway: &Rc<Gateway>, gatherer: &Gatherer, stages: Stages, call: Call) {
+    let start = gateway.now();
+    let usual_ms = stages.call_ms + stages.piece_ms * call.pieces.len() as f64;
+    let limit = Duration::from_millis((usual_ms * STUCK_FACTOR + STUCK_MS) as u64);
+    let end = tokio::time::timeout(limit, send(gateway, &call))
+        .await
+        .unwrap_or_else(|_| End::Lost("no answer in time".to_string()));
+    let now = gateway.now();
+    let (outcome, failed) = match &end {
+        End::Results(_) => ("done", false),
+        End::NotRun(why) => (*why, true),
+        End::Lost(why) => (why.as_str(), true),
+    };
+    gateway.metrics.batch_pieces.record(
+        call.pieces.len() as u64,
+        &[KeyValue::new("service", gatherer.service.to_string())],
+    );
+    gateway.log.write(&Event::Batch {
+        service: &gatherer.service,
+        server: &call.server,
+        pieces: call.pieces.len(),
+        waiting: gatherer.queue.borrow().len(),
+        outcome,
+        ms: now.since_ms(start),
+    });
+    gatherer
+        .queue
+        .borrow_mut()
+        .finished(now, &call.server, failed);
+    let results = match end {
+        End::Results(results) => results,
+        End::NotRun(_) | End::Lost(_) => vec![Err(Failure::Failed); call.pieces.len()],
+    };
+    for ((ticket, piece), result) in call.pieces.into_iter().zip(results) {
+        let may_retry = matches!(result, Err(Failure::Failed | Failure::NoRoom));
+        if may_retry && take_retry(gateway, gatherer, ticket) {
+            gatherer.queue.borrow_mut().put_back(ticket, piece);
+        } else {
+            answer(gatherer, ticket, result);
+        }
+    }
+}
+
+/// Takes one more try for a piece, if it, its waiter and the service's budget have one left.
+fn take_retry(gateway: &Gateway, gatherer: &Gatherer, ticket: Ticket) -> bool {
+    let mut waiters = gatherer.waiters.borrow_mut();
+    let Some((_, tries)) = waiters.get_mut(&ticket) else {
+        return false;
+    };
+    *tries -= 1;
+    if *tries == 0 {
+        return false;
+    }
+    let hosts = gateway.sharers();
+    let now = gateway.now();
+    gateway
+        .budget
+        .borrow_mut()
+        .take(now, &gatherer.service, hosts)
+}
+
+async fn send(gateway: &Gateway, call: &Call) -> End {
+    let now = gateway.now();
+    let address = gateway
+        .servers
+        .borrow()
+        .get(&call.server)
+        .map(|server| server.entry.address);
+    let Some(address) = address else {
+        return End::NotRun("server gone");
+    };
+    let pieces: Vec<(&Piece, u64)> = call
+        .pieces
+        .iter()
+        .map(|(_, piece)| (piece, piece.deadline.since_ms(now)))
+        .collect();
+    let request = request(
+        gateway,
+        &call.server,
+        address,
+        gateway.adapter.run_pieces(&pieces),
+    );
+    let Some(request) = request else {
+        return End::NotRun("no request");
+    };
+    let sent = gateway
+        .pool
+        .send(&call.server, address, request, Reuse::Any)
+        .await;
+    let (response, lease) = match sent {
+        Ok(sent) => sent,
+        Err(error) => return End::Lost(error.to_string()),
+    };
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return End::Lost(error.to_string()),
+    };
+    lease.finish();
+    match status {
+        200 => match gateway.adapter.piece_results(&body) {
+            Ok(results) if results.len() == call.pieces.len() => End::Results(results),
+            Ok(results) => End::Lost(format!("{} results", results.len())),
+            Err(error) => End::Lost(error.to_string()),
+        },
+        503 => End::NotRun("server full"),
+        421 => End::NotRun("another server"),
+        status => End::Lost(format!("status {status}")),
+    }
+}
+
+fn request(
+    gateway: &Gateway,
+    server: &Name,
+    address: SocketAddr,
+    call: crate::edges::gateway::Call,
+) -> Option<Request<Full<Bytes>>> {
+    let headers = gateway.adapter.headers();
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(http::header::HOST, address.to_string())
+        .header(&headers.expected_server, server.as_str());
+    if let Some(kind) = call.content_type {
+        request = request.header(http::header::CONTENT_TYPE, kind);
+    }
+    request.body(Full::new(call.body)).ok()
+}
+
+/// Sends what became free to be sent with time alone.
+pub(super) fn tick(gateway: &Rc<Gateway>) {
+    let gatherers: Vec<_> = gateway.queues.borrow().values().cloned().collect();
+    for gatherer in gatherers {
+        if !gatherer.queue.borrow().is_empty() {
+            pump(gateway, &gatherer);
+        }
+    }
+}
+
+/// Results that aren't needed any more, by the server that holds them.
+#[derive(Default)]
+pub(super) struct Unneeded(RefCell<HashMap<SocketAddr, Vec<Name>>>);
+
+/// Tells servers that results aren't needed any more, a few at a time.
+pub(super) fn free(gateway: &Rc<Gateway>, results: Vec<Name>) {
+    for result in results {
+        let Some(holder) = gateway.adapter.holder(&result) else {
+            continue;
+        };
+        let mut unneeded = gateway.unneeded.0.borrow_mut();
+        let waiting = unneeded.entry(holder).or_default();
+        waiting.push(result);
+        if waiting.len() == 1 {
+            tokio::task::spawn_local(send_free(gateway.clone(), holder));
+        }
+    }
+}
+
+async fn send_free(gateway: Rc<Gateway>, holder: SocketAddr) {
+    tokio::time::sleep(Duration::from_millis(FREE_MS)).await;
+    let Some(results) = gateway.unneeded.0.borrow_mut().remove(&holder) else {
+        return;
+    };
+    let Some(server) = gateway.servers.borrow().at(holder) else {
+        return;
+    };
+    let call = gateway.adapter.free_results(&results);
+    let Some(request) = request(&gateway, &server, holder, call) else {
+        return;
+    };
+    let limit = Duration::from_millis(FREE_MS * 10);
+    let exchange = async {
+        let sent = gateway
+            .pool
+            .send(&server, holder, request, Reuse::Any)
+            .await;
+        let Ok((response, lease)) = sent else { return };
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        if body.collect().await.is_ok() {
+            lease.finish();
+        }
+    };
+    // The server drops results by itself after a while, so a failure costs only their room.
+    let _ = tokio::time::timeout(limit, exchange).await;
+}
--- /dev/null
+++ b/src/shell/gateway/store.rs
@@ -0,0 +1,409 @@
+//! Follows the platform's store, and tells it that this host lives.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use opentelemetry::KeyValue;
+
+use super::{
+    Gateway,
+    log::Event,
+    upstream::Reuse, //
+};
+use crate::{
+    core::gateway::{
+        config::Config,
+        hosts::{
+            HEARTBEAT_MS,
+            Heartbeat, //
+        },
+        servers::Change, //
+    },
+    edges::gateway::{
+        Call,
+        Record,
+        Topic,
+        Wish, //
+    },
+    names::Name,
+    shell::clock::draw_incarnation,
+    time::Instant,
+};
+
+/// Longest wait of a read for the operators' next record, in milliseconds. Short, so that a
+/// connection that fell silent for good is noticed well within the time that a change may take.
+const WAIT_MS: u64 = 1_200;
+
+/// Time for which a call without a wait may take, in milliseconds. A slow store takes 60 times its
+/// 4 ms, and a call goes over more than one way.
+const CALL_MS: u64 = 900;
+
+/// Pause between reads of topics that change all the time, in milliseconds. Each read is paid for.
+const PAUSE_MS: u64 = 350;
+
+/// Pause after a failure, in milliseconds.
+const RETRY_MS: u64 = 150;
+
+/// Longest pause after failures in a row, in milliseconds.
+const MAX_RETRY_MS: u64 = 600;
+
+/// Largest answer of the store, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time after a failure for which the store counts as shaky, in milliseconds: entries of servers may
+/// have lapsed, and are back about two seconds after the store.
+const SHAKY_MS: u64 = 3_000;
+
+/// Name of the store's connections in the pool.
+const PEER: &str = "store";
+
+/// Status of a read from an offset that isn't kept any more.
+const GONE: u16 = 410;
+
+/// What is known of the store itself.
+#[derive(Default)]
+pub(super) struct State {
+    failed: Cell<Option<Instant>>,
+    is_down: Cell<bool>,
+    /// Whether the servers were read once.
+    pub(super) has_servers: Cell<bool>,
+    incarnation: Cell<u64>,
+    sequence: Cell<u64>,
+    bad: RefCell<BTreeSet<Name>>,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("{0}")]
+    Upstream(#[from] super::upstream::Error),
+    #[error("no answer within {0} ms")]
+    Silent(u64),
+    #[error("status {0}")]
+    Status(u16),
+    #[error("answer broke off: {0}")]
+    Body(String),
+    #[error("{0}")]
+    Malformed(#[from] crate::edges::gateway::Error),
+}
+
+/// Starts the tasks that follow the store.
+pub(super) fn spawn(gateway: &Rc<Gateway>) {
+    gateway.store.incarnation.set(draw_incarnation());
+    for topic in [Topic::Operator, Topic::Servers, Topic::Hosts] {
+        tokio::task::spawn_local(follow(gateway.clone(), topic));
+    }
+    tokio::task::spawn_local(beat(gateway.clone()));
+}
+
+async fn call(gateway: &Gateway, call: Call, limit_ms: u64) -> Result<Bytes, Error> {
+    let address = gateway.options.borrow().store;
+    let limit = Duration::from_millis(limit_ms);
+    let exchange = exchange(gateway, address, call);
+    tokio::time::timeout(limit, exchange)
+        .await
+        .unwrap_or(Err(Error::Silent(limit_ms)))
+}
+
+async fn exchange(gateway: &Gateway, address: SocketAddr, call: Call) -> Result<Bytes, Error> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(http::header::HOST, address.to_string());
+    if let Some(kind) = call.content_type {
+        request = request.header(http::header::CONTENT_TYPE, kind);
+    }
+    let request = request
+        .body(Full::new(call.body))
+        .map_err(|error| Error::Body(error.to_string()))?;
+    let (response, lease) = gateway
+        .pool
+        .send(&PEER.into(), address, request, Reuse::Any)
+        .await?;
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| Error::Body(error.to_string()))?
+        .to_bytes();
+    lease.finish();
+    if status != 200 {
+        return Err(Error::Status(status));
+    }
+    Ok(body)
+}
+
+async fn follow(gateway: Rc<Gateway>, topic: Topic) {
+    let mut from: Option<u64> = None;
+    let mut failures: u64 = 0;
+    loop {
+        let step = match from {
+            None => load(&gateway, topic).await,
+            Some(from) => tail(&gateway, topic, from).await,
+        };
+        note(&gateway, topic, step.as_ref().err());
+        match step {
+            Ok(next) => {
+                failures = 0;
+                from = Some(next);
+                if topic != Topic::Operator {
+                    tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                }
+            }
+            Err(error) => {
+                if matches!(error, Error::Status(GONE) | Error::Malformed(_)) {
+                    from = None;
+                }
+                let pause_ms = (RETRY_MS << failures.min(4)).min(MAX_RETRY_MS);
+                failures += 1;
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
+
+/// Notes how a call went, and logs when the store is lost or back.
+fn note(gateway: &Gateway, topic: Topic, error: Option<&Error>) {
+    let now = gateway.now();
+    let state = &gateway.store;
+    let labels = [
+        KeyValue::new("topic", format!("{topic:?}")),
+        KeyValue::new("ok", error.is_none()),
+    ];
+    gateway.metrics.store_calls.add(1, &labels);
+    match error {
+        // The history was dropped, which the store is free to do.
+        Some(Error::Status(GONE)) => {}
+        Some(error) => {
+            state.failed.set(Some(now));
+            if !state.is_down.replace(true) {
+                gateway.log.write(&Event::Dependency {
+                    name: PEER,
+                    up: false,
+                    why: &error.to_string(),
+                });
+            }
+        }
+        None => {
+            if state.is_down.replace(false) {
+                gateway.hosts.borrow_mut().store_returned(now);
+                gateway.log.write(&Event::Dependency {
+                    name: PEER,
+                    up: true,
+                    why: "answered",
+                });
+            }
+        }
+    }
+}
+
+async fn load(gateway: &Gateway, topic: Topic) -> Result<u64, Error> {
+    let mut records = Vec::new();
+    let mut after: Option<Name> = None;
+    let mut from = None;
+    loop {
+        let ask = gateway.adapter.newest(topic, after.as_deref());
+        let body = call(gateway, ask, CALL_MS).await?;
+        let page = gateway.adapter.newest_page(&body)?;
+        // What is added while the pages are read is read again from the first page's end.
+        from = from.or(Some(page.end));
+        after = page.records.last().map(|record| record.key.clone());
+        records.extend(page.records);
+        if !page.has_more || after.is_none() {
+            break;
+        }
+    }
+    let keys: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
+    apply(gateway, topic, records, true);
+    forget_missing(gateway, topic, &keys);
+    if topic == Topic::Servers {
+        gateway.store.has_servers.set(true);
+    }
+    Ok(from.unwrap_or(0))
+}
+
+/// Treats what is known but not in a whole list as dropped.
+fn forget_missing(gateway: &Gateway, topic: Topic, keys: &BTreeSet<Name>) {
+    let known = match topic {
+        Topic::Servers => gateway.servers.borrow().ids(),
+        Topic::Operator => {
+            let servers = gateway.servers.borrow();
+            let out: Vec<Name> = servers.out().iter().cloned().collect();
+            drop(servers);
+            let is_kept = |name: &Name| {
+                keys.iter()
+                    .any(|key| key.rsplit('/').next() == Some(name.as_str()))
+            };
+            for name in out.iter().filter(|name| !is_kept(name)) {
+                set_out(gateway, name, false);
+            }
+            return;
+        }
+        Topic::Hosts => return,
+    };
+    for key in known.into_iter().filter(|key| !keys.contains(key)) {
+        apply(gateway, topic, vec![Record { key, value: None }], true);
+    }
+}
+
+async fn tail(gateway: &Gateway, topic: Topic, from: u64) -> Result<u64, Error> {
+    let ask = gateway.adapter.tail(topic, from, WAIT_MS);
+    let body = call(gateway, ask, WAIT_MS + CALL_MS).await?;
+    let tail = gateway.adapter.tail_records(from, &body)?;
+    apply(gateway, topic, tail.records, false);
+    Ok(tail.next)
+}
+
+fn apply(gateway: &Gateway, topic: Topic, records: Vec<Record>, is_old: bool) {
+    for record in &records {
+        match topic {
+            Topic::Operator => apply_wish(gateway, record),
+            Topic::Servers => apply_server(gateway, record),
+            Topic::Hosts => apply_host(gateway, record, is_old),
+        }
+    }
+}
+
+fn bad_record(gateway: &Gateway, key: &Name, error: String) {
+    // Said once for each key: a server writes the same nonsense again and again.
+    if gateway.store.bad.borrow_mut().insert(key.clone()) {
+        gateway.log.write(&Event::BadRecord { key, error });
+    }
+}
+
+fn apply_wish(gateway: &Gateway, record: &Record) {
+    match gateway.adapter.wish(record) {
+        Ok(Wish::Config(config)) => put_in_force(gateway, *config),
+        Ok(Wish::Out { data_centre, out }) => set_out(gateway, &data_centre, out),
+        Ok(Wish::Other) => {}
+        Err(error) => bad_record(gateway, &record.key, error.to_string()),
+    }
+}
+
+fn put_in_force(gateway: &Gateway, config: Config) {
+    let before = gateway.config().map(|config| config.version);
+    // Reads may be old, and a configuration never goes back.
+    if before.is_some_and(|before| config.version <= before) {
+        return;
+    }
+    gateway.log.write(&Event::Configuration {
+        version: config.version,
+        before,
+    });
+    *gateway.config.borrow_mut() = Some(Rc::new(config));
+}
+
+fn set_out(gateway: &Gateway, name: &Name, out: bool) {
+    if gateway.servers.borrow_mut().set_out(name, out) {
+        gateway.log.write(&Event::DataCentre { name, out });
+    }
+}
+
+fn apply_server(gateway: &Gateway, record: &Record) {
+    let now = gateway.now();
+    let failed = gateway.store.failed.get();
+    let is_shaky = failed.is_some_and(|at| now.since_ms(at) < SHAKY_MS);
+    let entry = match gateway.adapter.server(record) {
+        Ok(entry) => entry,
+        Err(error) => {
+            bad_record(gateway, &record.key, error.to_string());
+            None
+        }
+    };
+    // Only an entry that isn't there may have lapsed.
+    let is_shaky = is_shaky && record.value.is_none();
+    let change = gateway
+        .servers
+        .borrow_mut()
+        .update(now, &record.key, entry, is_shaky);
+    let change = match change {
+        None => return,
+        Some(Change::Joined(_)) => "joined",
+        Some(Change::Left(_)) => "left",
+        Some(Change::Restarted(_)) => "restarted",
+    };
+    if change != "joined" {
+        gateway.balancer.borrow_mut().forget(&record.key);
+    }
+    gateway.log.write(&Event::Server {
+        id: &record.key,
+        change,
+    });
+}
+
+fn apply_host(gateway: &Gateway, record: &Record, is_old: bool) {
+    let Some(value) = &record.value else { return };
+    let beat: Heartbeat = match postcard::from_bytes(value) {
+        Ok(beat) => beat,
+        Err(error) => return bad_record(gateway, &record.key, error.to_string()),
+    };
+    let name = beat.host.clone();
+    let serving = beat.serving;
+    let now = gateway.now();
+    if gateway.hosts.borrow_mut().heard(now, beat, is_old) {
+        let name = &name;
+        gateway.log.write(&Event::Host { name, serving });
+    }
+}
+
+fn heartbeat(gateway: &Gateway) -> Heartbeat {
+    let state = &gateway.store;
+    let sequence = state.sequence.get() + 1;
+    state.sequence.set(sequence);
+    let listen = gateway.options.borrow().listen;
+    Heartbeat {
+        host: gateway.own.host.clone(),
+        callers: listen.callers,
+        peers: listen.peers,
+        data_centre: gateway.own.data_centre.clone(),
+        region: gateway.own.region.clone(),
+        incarnation: state.incarnation.get(),
+        sequence,
+        serving: gateway.leaving.get().is_none(),
+    }
+}
+
+async fn say(gateway: &Gateway, beat: &Heartbeat) -> Result<(), Error> {
+    let value = postcard::to_allocvec(beat).map_err(|error| Error::Body(error.to_string()))?;
+    let put = gateway.adapter.put(Topic::Hosts, &beat.host, &value);
+    let result = call(gateway, put, CALL_MS).await;
+    note(gateway, Topic::Hosts, result.as_ref().err());
+    result.map(|_| ())
+}
+
+async fn beat(gateway: Rc<Gateway>) {
+    loop {
+        let beat = heartbeat(&gateway);
+        // A host knows itself, whatever the store says.
+        let now = gateway.now();
+        gateway.hosts.borrow_mut().heard(now, beat.clone(), false);
+        // The next heartbeat is the retry, and `say` noted the failure.
+        let _ = say(&gateway, &beat).await;
+        tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+    }
+}
+
+/// Tells other hosts that this one takes no more callers.
+pub(super) async fn say_leaving(gateway: &Gateway) {
+    let beat = heartbeat(gateway);
+    gateway
+        .hosts
+        .borrow_mut()
+        .heard(gateway.now(), beat.clone(), false);
+    // Where the store is away, others notice by the silence that follows.
+    let _ = say(gateway, &beat).await;
+}
--- /dev/null
+++ b/src/shell/gateway/upstream.rs
@@ -0,0 +1,294 @@
+//! Connections to servers, the store and other hosts.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http::{
+    Request,
+    Response, //
+};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{
+        self,
+        SendRequest, //
+    }, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::task::AbortHandle;
+
+use super::{
+    clock::Clock,
+    net, //
+};
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Time within which a connection has to open, in milliseconds: a lost packet and two long ways.
+const CONNECT_MS: u64 = 600;
+
+/// Time for which an idle connection is kept where the peer names none, in milliseconds.
+const IDLE_MS: u64 = 8_000;
+
+/// Time by which a connection is given up before its peer would close it, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 800;
+
+/// Idle connections kept for one peer.
+const MAX_IDLE: usize = 24;
+
+/// Time within which a connection has to be ready for the next request, in milliseconds.
+const READY_MS: u64 = 300;
+
+/// Bytes that a connection buffers.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// Why a request got no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// Nothing of it left this host.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// It was sent, and the connection ended or fell silent.
+    #[error("lost: {0}")]
+    Lost(String),
+}
+
+/// Which connections a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that is open.
+    Any,
+    /// One that was used a moment ago, in milliseconds, or a new one. A connection that was idle for
+    /// longer may be closed by its peer just as the request goes out.
+    Young(u64),
+}
+
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    since: Instant,
+    until: Instant,
+}
+
+/// Ends a connection's task unless it was handed on.
+struct AbortOnDrop(Option<AbortHandle>);
+
+impl AbortOnDrop {
+    fn disarm(mut self) -> Option<AbortHandle> {
+        self.0.take()
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        if let Some(task) = self.0.take() {
+            task.abort();
+        }
+    }
+}
+
+/// Open connections by peer.
+pub struct Pool {
+    clock: Clock,
+    idle: RefCell<HashMap<Name, Vec<Idle>>>,
+}
+
+/// A connection with an answer on it. Dropping it closes the connection, by which the peer learns
+/// that nobody waits any more.
+pub struct Lease {
+    pool: Rc<Pool>,
+    peer: Name,
+    connection: Option<(SendRequest<Full<Bytes>>, AbortHandle)>,
+    keep_ms: u64,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some((_, task)) = self.connection.take() {
+            task.abort();
+        }
+    }
+}
+
+impl Lease {
+    /// Gives the connection back after its answer was read to the end.
+    pub fn finish(mut self) {
+        let Some((mut sender, task)) = self.connection.take() else {
+            return;
+        };
+        let pool = self.pool.clone();
+        let peer = self.peer.clone();
+        let keep_ms = self.keep_ms;
+        tokio::task::spawn_local(async move {
+            let ready = tokio::time::timeout(Duration::from_millis(READY_MS), sender.ready());
+            if keep_ms > 0 && matches!(ready.await, Ok(Ok(()))) {
+                pool.put(peer, sender, task, keep_ms);
+            } else {
+                task.abort();
+            }
+        });
+    }
+}
+
+impl Pool {
+    /// Makes an empty pool.
+    pub fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            idle: RefCell::default(),
+        })
+    }
+
+    fn put(
+        &self,
+        peer: Name,
+        sender: SendRequest<Full<Bytes>>,
+        task: AbortHandle,
+        keep_ms: u64, //
+    ) {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let idle = idle.entry(peer).or_default();
+        if idle.len() >= MAX_IDLE {
+            let oldest = idle.remove(0);
+            oldest.task.abort();
+        }
+        idle.push(Idle {
+            sender,
+            task,
+            since: now,
+            until: now.after_ms(keep_ms),
+        });
+    }
+
+    fn take(&self, peer: &str, reuse: Reuse) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
+        let now = self.clock.now();
+        let mut all = self.idle.borrow_mut();
+        let idle = all.get_mut(peer)?;
+        while let Some(last) = idle.pop() {
+            let is_young = match reuse {
+                Reuse::Any => true,
+                Reuse::Young(ms) => now.since_ms(last.since) <= ms,
+            };
+            if now >= last.until || last.sender.is_closed() || !last.sender.is_ready() {
+                last.task.abort();
+                continue;
+            }
+            if is_young {
+                return Some((last.sender, last.task));
+            }
+            idle.push(last);
+            return None;
+        }
+        None
+    }
+
+    /// Closes connections that were idle for long, and forgets peers without any.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(|one| {
+                let keep = now < one.until && !one.sender.is_closed();
+                if !keep {
+                    one.task.abort();
+                }
+                keep
+            });
+            !idle.is_empty()
+        });
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), Error> {
+        let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
+        let stream = net::connect(address, CONNECT_MS)
+            .await
+            .map_err(|error| not_sent(&error))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent(&error))?;
+        let task = tokio::task::spawn_local(async move {
+            // How it ended is seen by whoever waits for an answer on it.
+            let _ = connection.await;
+        });
+        Ok((sender, task.abort_handle()))
+    }
+
+    /// Sends a request and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`], which tells whether anything of the request left this host.
+    pub async fn send(
+        self: &Rc<Self>,
+        peer: &Name,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<(Response<Incoming>, Lease), Error> {
+        loop {
+            let kept = self.take(peer, reuse);
+            let is_new = kept.is_none();
+            let (mut sender, task) = match kept {
+                Some(kept) => kept,
+                None => self.open(address).await?,
+            };
+            // Dropped on the way, as when the caller leaves, it closes the connection.
+            let mut lease = Lease {
+                pool: self.clone(),
+                peer: peer.clone(),
+                connection: None,
+                keep_ms: 0,
+            };
+            let abort = AbortOnDrop(Some(task));
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    lease.keep_ms = keep_ms(&response);
+                    lease.connection = abort.disarm().map(|task| (sender, task));
+                    return Ok((response, lease));
+                }
+                Err(mut error) => match error.take_message() {
+                    // It was closed before the request went out, so a new one is as good.
+                    Some(unsent) if !is_new => request = unsent,
+                    Some(_) => return Err(Error::NotSent(error.into_error().to_string())),
+                    None => return Err(Error::Lost(error.into_error().to_string())),
+                },
+            }
+        }
+    }
+}
+
+fn keep_ms(response: &Response<Incoming>) -> u64 {
+    let header = |name: http::HeaderName| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok()
+    };
+    if header(http::header::CONNECTION).is_some_and(|text| text.eq_ignore_ascii_case("close")) {
+        return 0;
+    }
+    let seconds: Option<u64> = header(http::HeaderName::from_static("keep-alive"))
+        .and_then(|text| {
+            text.split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|text| text.parse().ok());
+    match seconds {
+        Some(seconds) => (seconds * 1_000)
+            .saturating_sub(IDLE_MARGIN_MS)
+            .min(IDLE_MS),
+        None => IDLE_MS,
+    }
+}
--- a/src/shell/mod.rs
+++ b/src/shell/mod.rs
@@ -45,6 +45,7 @@
 pub mod control;
 pub mod daemon;
 pub mod exchange;
+pub mod gateway;
 pub mod http;
 pub mod logging;
 pub mod metrics;
