--- a/src/core/gateway/config.rs
+++ b/src/core/gateway/config.rs
@@ -132,6 +132,10 @@
     pub call_ms: f64,
     /// Time of a piece in a call, in milliseconds.
     pub piece_ms: f64,
+    /// Memory for results, in bytes.
+    pub room_bytes: u64,
+    /// Time for which a result is kept after its call, in milliseconds.
+    pub keep_ms: u64,
 }
 
 /// A service.
--- a/src/shell/gateway/forward.rs
+++ b/src/shell/gateway/forward.rs
@@ -209,12 +209,20 @@
 /// Results of a request's stages, freed when it is dropped.
 struct Results {
     gateway: Rc<Gateway>,
-    handles: RefCell<Vec<Name>>,
+    made: RefCell<Vec<stages::Made>>,
+}
+
+impl Results {
+    fn free(&self) {
+        for made in self.made.take() {
+            stages::free(&self.gateway, made);
+        }
+    }
 }
 
 impl Drop for Results {
     fn drop(&mut self) {
-        stages::free(&self.gateway, self.handles.take());
+        self.free();
     }
 }
 
@@ -395,7 +403,7 @@
         tried: RefCell::default(),
         results: Results {
             gateway: gateway.clone(),
-            handles: RefCell::default(),
+            made: RefCell::default(),
         },
         inputs: RefCell::default(),
         _running: running,
@@ -590,14 +598,11 @@
             let Some((stage, result)) = running.next().await else {
                 break;
             };
-            let results = result.map_err(|failure| {
+            let made = result.map_err(|failure| {
                 Refusal::not_run(format!("stage {stage}: {}", failure_text(failure)))
             })?;
-            self.results
-                .handles
-                .borrow_mut()
-                .extend(results.iter().cloned());
-            plan.finish(stage, results);
+            plan.finish(stage, made.results.clone());
+            self.results.made.borrow_mut().push(made);
         }
         self.stages_ms.set(self.ms());
         *self.inputs.borrow_mut() = plan.inputs();
@@ -611,6 +616,7 @@
             stage,
             index,
             input: input.clone(),
+            result_bytes: self.route.stages[stage].result_bytes,
             wanted: self.arrived.after_ms(self.route.objective_ms),
             deadline: self.deadline,
             after_ms,
@@ -835,6 +841,8 @@
         match source.next().await {
             Chunk::Events(first) => {
                 source.place.read();
+                // The server fetched the results before it read the prompt.
+                self.results.free();
                 Ok(Answer::Stream(Box::new(Stream {
                     head,
                     first,
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -170,7 +170,7 @@
         Purpose::Callers => forward::handle(gateway, request).await,
         Purpose::Ready => ready(&gateway, &request),
         Purpose::Lookup => look_up(&gateway, &request),
-        Purpose::Peers => run_pieces(&gateway, request).await,
+        Purpose::Peers => serve_peer(&gateway, request).await,
         Purpose::Metrics => with_status(StatusCode::OK, gateway.metrics.text()),
     }
 }
@@ -211,27 +211,40 @@
     response
 }
 
-async fn run_pieces(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
-    if request.uri().path() != peers::PIECES_PATH {
-        return with_status(StatusCode::NOT_FOUND, "");
-    }
+async fn serve_peer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_string();
     let body = Limited::new(request.into_body(), peers::MAX_BODY_BYTES)
         .collect()
         .await;
     let Ok(body) = body else {
         return with_status(StatusCode::BAD_REQUEST, "body broke off");
     };
-    let Ok(ask) = postcard::from_bytes::<peers::Ask>(&body.to_bytes()) else {
-        return with_status(StatusCode::BAD_REQUEST, "not understood");
+    let body = body.to_bytes();
+    let reply = match path.as_str() {
+        peers::PIECES_PATH => match postcard::from_bytes(&body) {
+            Ok(ask) => postcard::to_allocvec(&run_pieces(gateway, ask).await),
+            Err(error) => Err(error),
+        },
+        peers::FREE_PATH => match postcard::from_bytes::<peers::Free>(&body) {
+            Ok(free) => {
+                stages::free_here(gateway, &free.service, free.results).await;
+                Ok(Vec::new())
+            }
+            Err(error) => Err(error),
+        },
+        _ => return with_status(StatusCode::NOT_FOUND, ""),
     };
+    match reply {
+        Ok(body) => with_status(StatusCode::OK, body),
+        Err(error) => with_status(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
+async fn run_pieces(gateway: &Rc<Gateway>, ask: peers::Ask) -> peers::Reply {
     let service = ask.service.clone();
     let pieces = ask.pieces(gateway.now());
-    let reply = match stages::run_here(gateway, &service, pieces).await {
+    match stages::run_here(gateway, &service, pieces).await {
         Ok(results) => peers::Reply::Results(results),
         Err(failure) => peers::Reply::Failed(failure.into()),
-    };
-    match postcard::to_allocvec(&reply) {
-        Ok(body) => with_status(StatusCode::OK, body),
-        Err(error) => with_status(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
 }
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -37,6 +37,9 @@
 /// Path of the call by which a host runs pieces for another.
 pub(super) const PIECES_PATH: &str = "/v1/pieces";
 
+/// Path of the call by which a host learns that results aren't needed any more.
+pub(super) const FREE_PATH: &str = "/v1/free";
+
 /// Largest body of a call between hosts, in bytes.
 pub(super) const MAX_BODY_BYTES: usize = 1024 * 1024;
 
@@ -49,6 +52,7 @@
     stage: u32,
     pieces: u32,
     input: WireInput,
+    result_bytes: u64,
     wanted_in_ms: i64,
     deadline_in_ms: i64,
     after_ms: u64,
@@ -142,6 +146,7 @@
                 Input::Key(key) => WireInput::Key(key.clone()),
                 Input::Results(results) => WireInput::Results(results.clone()),
             },
+            result_bytes: first.result_bytes,
             wanted_in_ms: in_ms(now, first.wanted),
             deadline_in_ms: in_ms(now, first.deadline),
             after_ms: first.after_ms,
@@ -160,6 +165,7 @@
             stage: self.stage as usize,
             index,
             input: input.clone(),
+            result_bytes: self.result_bytes,
             wanted: at_ms(now, self.wanted_in_ms),
             deadline: at_ms(now, self.deadline_in_ms),
             after_ms: self.after_ms,
@@ -168,6 +174,13 @@
     }
 }
 
+/// Results that aren't needed any more.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Free {
+    pub(super) service: Name,
+    pub(super) results: Vec<Name>,
+}
+
 /// Asks a host to run pieces.
 pub(super) async fn run_pieces(
     gateway: &Gateway,
@@ -175,9 +188,31 @@
     ask: &Ask,
     limit_ms: u64,
 ) -> Result<Reply, Error> {
+    let body = call(gateway, address, PIECES_PATH, ask, limit_ms).await?;
+    postcard::from_bytes(&body).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+/// Tells a host that results aren't needed any more.
+pub(super) async fn free(
+    gateway: &Gateway,
+    address: SocketAddr,
+    free: &Free,
+    limit_ms: u64,
+) -> Result<(), Error> {
+    call(gateway, address, FREE_PATH, free, limit_ms).await?;
+    Ok(())
+}
+
+async fn call<T: Serialize>(
+    gateway: &Gateway,
+    address: SocketAddr,
+    path: &str,
+    message: &T,
+    limit_ms: u64,
+) -> Result<Bytes, Error> {
     let malformed = |error: &dyn std::fmt::Display| Error::Malformed(error.to_string());
-    let body = postcard::to_allocvec(ask).map_err(|error| malformed(&error))?;
-    let request = Request::post(PIECES_PATH)
+    let body = postcard::to_allocvec(message).map_err(|error| malformed(&error))?;
+    let request = Request::post(path)
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::from(body)))
         .map_err(|error| malformed(&error))?;
@@ -197,7 +232,7 @@
         if !status.is_success() {
             return Err(Error::Malformed(format!("status {status}")));
         }
-        postcard::from_bytes(&body).map_err(|error| malformed(&error))
+        Ok(body)
     };
     let limit = Duration::from_millis(limit_ms);
     let result = tokio::time::timeout(limit, exchange).await;
--- a/src/shell/gateway/stages.rs
+++ b/src/shell/gateway/stages.rs
@@ -63,7 +63,10 @@
 
 /// Time for which results are gathered before their server is told that they aren't needed, in
 /// milliseconds.
-const FREE_MS: u64 = 100;
+const FREE_MS: u64 = 40;
+
+/// Time that a call which frees results may take, in milliseconds.
+const FREE_LIMIT_MS: u64 = 1_000;
 
 /// Largest answer of a server, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
@@ -113,12 +116,23 @@
     }
 }
 
-/// Runs all pieces of one stage of a request, and returns their results in order.
+/// Results of a stage, and who gathered the calls.
+#[derive(Clone, Debug)]
+pub(super) struct Made {
+    /// The service.
+    pub(super) service: Name,
+    /// The host that has to learn when they aren't needed, `None` for this one.
+    pub(super) owner: Option<SocketAddr>,
+    /// The results, in order of their pieces.
+    pub(super) results: Vec<Name>,
+}
+
+/// Runs all pieces of one stage of a request.
 pub(super) async fn run(
     gateway: &Rc<Gateway>,
     service: &Name,
     pieces: Vec<Piece>,
-) -> Result<Vec<Name>, Failure> {
+) -> Result<Made, Failure> {
     let start = gateway.now();
     let request = pieces.first().map(|piece| piece.request.clone());
     let count = pieces.len();
@@ -140,25 +154,31 @@
         outcome: &outcome,
         ms,
     });
-    result
+    let (owner, results) = result?;
+    Ok(Made {
+        service: service.clone(),
+        owner,
+        results,
+    })
 }
 
-async fn run_at_owner(
-    gateway: &Rc<Gateway>,
-    service: &Name,
-    pieces: Vec<Piece>,
-) -> (Name, Result<Vec<Name>, Failure>) {
+type Ran = Result<(Option<SocketAddr>, Vec<Name>), Failure>;
+
+async fn run_at_owner(gateway: &Rc<Gateway>, service: &Name, pieces: Vec<Piece>) -> (Name, Ran) {
     let own = gateway.own.host.clone();
+    let here = |result: Result<Vec<Name>, Failure>| result.map(|results| (None, results));
     let Some((owner, address)) = owner(gateway, service) else {
-        return (own, run_here(gateway, service, pieces).await);
+        return (own, here(run_here(gateway, service, pieces).await));
     };
     let now = gateway.now();
     let Some(ask) = peers::Ask::new(now, service, &pieces) else {
-        return (own, Ok(Vec::new()));
+        return (own, here(Ok(Vec::new())));
     };
     let limit_ms = owner_limit_ms(gateway, service, now, &pieces);
     match peers::run_pieces(gateway, address, &ask, limit_ms).await {
-        Ok(Reply::Results(results)) if results.len() == pieces.len() => (owner, Ok(results)),
+        Ok(Reply::Results(results)) if results.len() == pieces.len() => {
+            (owner, Ok((Some(address), results)))
+        }
         Ok(Reply::Results(_)) => (owner, Err(Failure::Failed)),
         Ok(Reply::Failed(failure)) => (owner, Err(failure.into())),
         Err(error) => {
@@ -169,7 +189,7 @@
                 up: false,
                 why: &error.to_string(),
             });
-            (own, run_here(gateway, service, pieces).await)
+            (own, here(run_here(gateway, service, pieces).await))
         }
     }
 }
@@ -317,14 +337,20 @@
         outcome,
         ms: now.since_ms(start),
     });
-    gatherer
-        .queue
-        .borrow_mut()
-        .finished(now, &call.server, failed);
     let results = match end {
         End::Results(results) => results,
         End::NotRun(_) | End::Lost(_) => vec![Err(Failure::Failed); call.pieces.len()],
     };
+    let handles: Vec<Option<Name>> = results.iter().cloned().map(Result::ok).collect();
+    let handles = if failed {
+        None
+    } else {
+        Some(handles.as_slice())
+    };
+    gatherer
+        .queue
+        .borrow_mut()
+        .finished(now, &stages, &call, handles);
     for ((ticket, piece), result) in call.pieces.into_iter().zip(results) {
         let may_retry = matches!(result, Err(Failure::Failed | Failure::NoRoom));
         if may_retry && take_retry(gateway, gatherer, ticket) {
@@ -434,18 +460,22 @@
     }
 }
 
+/// Where results are that aren't needed any more, and who has to learn that.
+type Holder = (Name, SocketAddr, Option<SocketAddr>);
+
 /// Results that aren't needed any more, by the server that holds them.
 #[derive(Default)]
-pub(super) struct Unneeded(RefCell<HashMap<SocketAddr, Vec<Name>>>);
+pub(super) struct Unneeded(RefCell<HashMap<Holder, Vec<Name>>>);
 
 /// Tells servers that results aren't needed any more, a few at a time.
-pub(super) fn free(gateway: &Rc<Gateway>, results: Vec<Name>) {
-    for result in results {
-        let Some(holder) = gateway.adapter.holder(&result) else {
+pub(super) fn free(gateway: &Rc<Gateway>, made: Made) {
+    for result in made.results {
+        let Some(server) = gateway.adapter.holder(&result) else {
             continue;
         };
+        let holder = (made.service.clone(), server, made.owner);
         let mut unneeded = gateway.unneeded.0.borrow_mut();
-        let waiting = unneeded.entry(holder).or_default();
+        let waiting = unneeded.entry(holder.clone()).or_default();
         waiting.push(result);
         if waiting.len() == 1 {
             tokio::task::spawn_local(send_free(gateway.clone(), holder));
@@ -453,19 +483,50 @@
     }
 }
 
-async fn send_free(gateway: Rc<Gateway>, holder: SocketAddr) {
+async fn send_free(gateway: Rc<Gateway>, holder: Holder) {
     tokio::time::sleep(Duration::from_millis(FREE_MS)).await;
     let Some(results) = gateway.unneeded.0.borrow_mut().remove(&holder) else {
         return;
     };
+    let (service, _, owner) = holder;
+    let Some(owner) = owner else {
+        return free_here(&gateway, &service, results).await;
+    };
+    let free = peers::Free { service, results };
+    if peers::free(&gateway, owner, &free, FREE_LIMIT_MS)
+        .await
+        .is_err()
+    {
+        // The owner is gone, so the servers learn it from here.
+        free_here(&gateway, &free.service, free.results).await;
+    }
+}
+
+/// Frees results whose calls this host gathered.
+pub(super) async fn free_here(gateway: &Rc<Gateway>, service: &Name, results: Vec<Name>) {
+    let mut by_holder: HashMap<SocketAddr, Vec<Name>> = HashMap::new();
+    let gatherer = gatherer(gateway, service);
+    for result in results {
+        gatherer.queue.borrow_mut().freed(&result);
+        if let Some(holder) = gateway.adapter.holder(&result) {
+            by_holder.entry(holder).or_default().push(result);
+        }
+    }
+    for (holder, results) in by_holder {
+        free_at(gateway, holder, &results).await;
+    }
+    pump(gateway, &gatherer);
+}
+
+async fn free_at(gateway: &Gateway, holder: SocketAddr, results: &[Name]) {
     let Some(server) = gateway.servers.borrow().at(holder) else {
         return;
     };
-    let call = gateway.adapter.free_results(&results);
-    let Some(request) = request(&gateway, &server, holder, call) else {
+    let call = gateway.adapter.free_results(results);
+    let Some(request) = request(gateway, &server, holder, call) else {
         return;
     };
-    let limit = Duration::from_millis(FREE_MS * 10);
+    let limit = Duration::from_millis(FREE_LIMIT_MS);
     let exchange = async {
         let sent = gateway
             .pool
