--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -20,6 +20,9 @@
 /// Part of a server's room that is planned with, in percent. Sizes of results are approximate.
 const ROOM_PERCENT: u64 = 92;
 
+/// Calls that pass, as a rule, until results that fill a server's room are freed.
+const ROOM_CALLS: f64 = 2.0;
+
 /// A piece of a stage of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Piece {
@@ -33,6 +36,8 @@
     pub input: Input,
     /// About the size of its result, in bytes.
     pub result_bytes: u64,
+    /// About the size of the results that it works on, in bytes.
+    pub input_bytes: u64,
     /// When the request's whole answer is wanted.
     pub wanted: Instant,
     /// When the request is given up.
@@ -58,6 +63,7 @@
 #[derive(Debug, Default)]
 struct Server {
     calls: u32,
+    busy_until: Instant,
     avoid_until: Instant,
     reserved_bytes: u64,
     results: HashMap<Name, (u64, Instant)>,
@@ -109,58 +115,124 @@
 
     /// Removes and returns the pieces whose request can't be served any more, and forgets results
     /// that servers have dropped by now.
-    pub fn expire(&mut self, now: Instant, stages: &Stages) -> Vec<Ticket> {
+    ///
+    /// A piece is given up as soon as the calls ahead of it leave no time for it, so that its caller
+    /// learns that at once and not at the deadline.
+    pub fn expire(&mut self, now: Instant, stages: &Stages, servers: &[Name]) -> Vec<Ticket> {
         for server in self.servers.values_mut() {
             server.results.retain(|_, &mut (_, until)| now < until);
         }
-        let least_ms = (stages.call_ms + stages.piece_ms) as u64;
-        let is_lost = |piece: &Piece| now.after_ms(least_ms + piece.after_ms) > piece.deadline;
-        let lost: Vec<Ticket> = self
-            .waiting
-            .iter()
-            .filter(|(_, piece)| is_lost(piece))
-            .map(|(&ticket, _)| ticket)
-            .collect();
+        let mut lost = Vec::new();
+        let mut ends = Ends::new(self.free_in_ms(now, servers), stages);
+        for (_, _, ticket) in self.order(now, stages) {
+            let Some(piece) = self.waiting.get(&ticket) else {
+                continue;
+            };
+            let done_ms = ends.peek().unwrap_or(ends.least_ms());
+            if now.after_ms(done_ms + piece.after_ms) > piece.deadline {
+                lost.push(ticket);
+            } else {
+                ends.push();
+            }
+        }
         for ticket in &lost {
             self.waiting.remove(ticket);
         }
         lost
     }
 
+    /// Returns in how many milliseconds pieces that come now would be done, `None` where there is no
+    /// server. Pieces that can be in time pass those that can't.
+    pub fn estimate_ms(
+        &self,
+        now: Instant,
+        stages: &Stages,
+        servers: &[Name],
+        pieces: usize,
+        result_bytes: u64,
+    ) -> Option<u64> {
+        let in_time = self.order(now, stages);
+        let ahead = in_time.iter().filter(|(is_late, _, _)| !is_late).count();
+        let mut ends = Ends::new(self.free_in_ms(now, servers), stages);
+        let mut done_ms = ends.peek()?;
+        for _ in 0..ahead + pieces {
+            done_ms = ends.push()?;
+        }
+        let needed = result_bytes.saturating_mul((ahead + pieces) as u64);
+        if needed > self.room_bytes(stages, servers) {
+            // Room comes back as requests begin to run, a call's time from now.
+            done_ms += (stages.call_ms * ROOM_CALLS) as u64;
+        }
+        Some(done_ms)
+    }
+
+    /// Returns in how many milliseconds each server takes its next call.
+    fn free_in_ms(&self, now: Instant, servers: &[Name]) -> Vec<u64> {
+        let free_in = |name: &Name| {
+            let Some(server) = self.servers.get(name) else {
+                return 0;
+            };
+            let busy_ms = server.busy_until.since_ms(now);
+            let busy_ms = if server.calls > 0 { busy_ms } else { 0 };
+            busy_ms.max(server.avoid_until.since_ms(now))
+        };
+        servers.iter().map(free_in).collect()
+    }
+
+    fn order(&self, now: Instant, stages: &Stages) -> Vec<(bool, u64, Ticket)> {
+        let ranks = self.waiting.iter();
+        let mut order: Vec<(bool, u64, Ticket)> = ranks
+            .map(|(&ticket, piece)| rank(now, stages, ticket, piece))
+            .collect();
+        order.sort_unstable();
+        order
+    }
+
     /// Returns the next call, where a server is free and a piece waits whose result fits.
     pub fn next(&mut self, now: Instant, stages: &Stages, servers: &[Name]) -> Option<Call> {
         if self.waiting.is_empty() {
             return None;
         }
-        let mut order: Vec<(bool, u64, Ticket)> = self
-            .waiting
-            .iter()
-            .map(|(&ticket, piece)| rank(now, stages, ticket, piece))
-            .collect();
-        order.sort_unstable();
+        let order = self.order(now, stages);
         let mut free: Vec<(u64, &Name)> = servers
             .iter()
             .filter_map(|name| Some((self.room(now, stages, name)?, name)))
             .collect();
         free.sort_by_key(|&(room, _)| std::cmp::Reverse(room));
         free.into_iter()
-            .find_map(|(room, server)| self.fill(stages, server, room, &order))
+            .find_map(|(room, server)| self.fill(now, stages, server, room, &order))
     }
 
     /// Returns the bytes that a server has room for, `None` where it takes no call now.
     fn room(&self, now: Instant, stages: &Stages, name: &str) -> Option<u64> {
-        let room_bytes = stages.room_bytes * ROOM_PERCENT / 100;
-        let Some(server) = self.servers.get(name) else {
-            return Some(room_bytes);
-        };
-        if server.calls >= stages.slots.max(1) || now < server.avoid_until {
+        if let Some(server) = self.servers.get(name)
+            && (server.calls >= stages.slots.max(1) || now < server.avoid_until)
+        {
             return None;
         }
-        Some(room_bytes.saturating_sub(server.held_bytes()))
+        Some(self.room_left(stages, name))
+    }
+
+    /// Returns the bytes of results that a server is believed to hold.
+    pub fn held_bytes(&self, server: &str) -> u64 {
+        self.servers.get(server).map_or(0, Server::held_bytes)
+    }
+
+    /// Returns the bytes that servers have room for together.
+    pub fn room_bytes(&self, stages: &Stages, servers: &[Name]) -> u64 {
+        let room = servers.iter().map(|name| self.room_left(stages, name));
+        room.sum()
+    }
+
+    fn room_left(&self, stages: &Stages, name: &str) -> u64 {
+        let room_bytes = stages.room_bytes * ROOM_PERCENT / 100;
+        let server = self.servers.get(name);
+        room_bytes.saturating_sub(server.map_or(0, Server::held_bytes))
     }
 
     fn fill(
         &mut self,
+        now: Instant,
         stages: &Stages,
         name: &Name,
         room: u64,
@@ -189,6 +261,8 @@
             .collect();
         let server = self.servers.entry(name.clone()).or_default();
         server.calls += 1;
+        let call_ms = stages.call_ms + stages.piece_ms * pieces.len() as f64;
+        server.busy_until = now.after_ms(call_ms as u64);
         server.reserved_bytes += room - left;
         Some(Call {
             server: name.clone(),
@@ -242,6 +316,52 @@
     }
 }
 
+/// When calls end if pieces are sent one after the other in full calls.
+struct Ends {
+    free_in_ms: Vec<u64>,
+    call_ms: u64,
+    piece_ms: f64,
+    batch: usize,
+    filled: usize,
+}
+
+impl Ends {
+    fn new(mut free_in_ms: Vec<u64>, stages: &Stages) -> Self {
+        free_in_ms.sort_unstable();
+        Self {
+            free_in_ms,
+            call_ms: stages.call_ms as u64,
+            piece_ms: stages.piece_ms,
+            batch: stages.batch.max(1),
+            filled: 0,
+        }
+    }
+
+    /// Returns the time of a call with one piece.
+    fn least_ms(&self) -> u64 {
+        self.call_ms + self.piece_ms as u64
+    }
+
+    /// Returns when one more piece would be done.
+    fn peek(&self) -> Option<u64> {
+        let pieces = (self.filled + 1) as f64;
+        let first = self.free_in_ms.first()?;
+        Some(first + self.call_ms + (self.piece_ms * pieces) as u64)
+    }
+
+    /// Adds a piece to the call that goes out next, and returns when it is done.
+    fn push(&mut self) -> Option<u64> {
+        let done_ms = self.peek()?;
+        self.filled += 1;
+        if self.filled == self.batch {
+            self.filled = 0;
+            self.free_in_ms[0] = done_ms;
+            self.free_in_ms.sort_unstable();
+        }
+        Some(done_ms)
+    }
+}
+
 /// Pieces that can still be in time go first, by how soon they have to start.
 fn rank(now: Instant, stages: &Stages, ticket: Ticket, piece: &Piece) -> (bool, u64, Ticket) {
     let own_ms = (stages.call_ms + stages.piece_ms) as u64;
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time between two heartbeats of a host, in milliseconds.
-pub const HEARTBEAT_MS: u64 = 1_200;
+pub const HEARTBEAT_MS: u64 = 1_300;
 
 /// Silence after which a host counts as gone, in milliseconds: three heartbeats and a read.
 pub const SILENCE_MS: u64 = 4_200;
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -13,4 +13,5 @@
 pub mod plan;
 pub mod rate;
 pub mod servers;
+pub mod spill;
 pub mod stream;
--- a/src/core/gateway/plan.rs
+++ b/src/core/gateway/plan.rs
@@ -133,9 +133,13 @@
             .collect()
     }
 
-    /// Returns all results, to be freed once they aren't needed.
-    pub fn results(&self) -> Vec<Name> {
-        self.results.iter().flatten().flatten().cloned().collect()
+    /// Returns whether nothing needs a stage's results any more: other stages took them, and those
+    /// are done.
+    pub fn is_used(&self, stage: usize) -> bool {
+        let mut takers = (0..self.stages.len())
+            .filter(|&index| self.stages[index].after.contains(&stage))
+            .peekable();
+        takers.peek().is_some() && takers.all(|index| self.results[index].is_some())
     }
 }
 
--- /dev/null
+++ b/src/core/gateway/spill.rs
@@ -0,0 +1,89 @@
+//! Which region's servers run pieces when those of the own region are behind.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr, //
+};
+
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Age from which news of another region isn't used, in milliseconds. Several messages may be lost.
+const STALE_MS: u64 = 800;
+
+/// Time by which another region has to be faster, in milliseconds: two ways between regions and a
+/// part of a call.
+const MARGIN_MS: u64 = 100;
+
+/// Time that results count as which have to cross regions, in milliseconds for each megabyte. A
+/// megabyte costs about a tenth of what an answer in time is worth.
+const FAR_MS_PER_MB: u64 = 100;
+
+/// Bytes in a megabyte.
+const MEGABYTE: u64 = 1_000_000;
+
+/// What is known of a service's servers in another region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Far {
+    /// The host that gathers its calls.
+    pub owner: SocketAddr,
+    /// In how many milliseconds a piece that comes now would be done.
+    pub done_ms: u64,
+    /// Room for results, in bytes.
+    pub room_bytes: u64,
+    /// When that was heard.
+    pub heard: Instant,
+}
+
+/// How far other regions are with their pieces, by service and region.
+#[derive(Debug, Default)]
+pub struct Map(HashMap<(Name, Name), Far>);
+
+/// Pieces to be placed in a region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Number of pieces.
+    pub pieces: usize,
+    /// Size of one result, in bytes.
+    pub result_bytes: u64,
+    /// Size of the results of this region that one piece works on, in bytes.
+    pub input_bytes: u64,
+    /// Time of one piece in a call, in milliseconds.
+    pub piece_ms: u64,
+    /// When they would be done in the own region, in milliseconds, `None` where it has no server.
+    pub own_done_ms: Option<u64>,
+}
+
+impl Map {
+    /// Takes news of another region.
+    pub fn heard(&mut self, service: Name, region: Name, far: Far) {
+        self.0.insert((service, region), far);
+    }
+
+    /// Returns the region's owner to which pieces should go, `None` for the own region.
+    ///
+    /// The load pattern: a burst in one region, or a region with few servers of a service, while
+    /// others have some to spare. What is sent away counts there until the next news, so that not
+    /// all of a burst goes to the same place.
+    pub fn choose(&mut self, now: Instant, service: &str, ask: Ask) -> Option<SocketAddr> {
+        let pieces = ask.pieces as u64;
+        let bytes = ask.result_bytes * pieces;
+        let moved_ms = (bytes + ask.input_bytes * pieces) * FAR_MS_PER_MB / MEGABYTE;
+        let cost_ms = |far: &Far| {
+            let age_ms = now.since_ms(far.heard);
+            far.done_ms.saturating_sub(age_ms) + MARGIN_MS + moved_ms
+        };
+        let usable = self.0.iter_mut().filter(|((of, _), far)| {
+            &**of == service && now.since_ms(far.heard) < STALE_MS && far.room_bytes >= bytes
+        });
+        let (_, far) = usable.min_by_key(|(_, far)| cost_ms(far))?;
+        if ask.own_done_ms.is_some_and(|own| own <= cost_ms(far)) {
+            return None;
+        }
+        far.done_ms += ask.piece_ms * pieces;
+        far.room_bytes -= bytes;
+        Some(far.owner)
+    }
+}
--- a/src/shell/gateway/forward.rs
+++ b/src/shell/gateway/forward.rs
@@ -107,6 +107,10 @@
 /// When to come back where nothing better is known, in seconds.
 const RETRY_AFTER_S: f64 = 0.5;
 
+/// Size of results from which a request runs where they lie, in bytes. The request's own bytes, which
+/// then cross regions, cost about as much as a hundred times as many bytes of results.
+const HEAVY_BYTES: u64 = 2_000_000;
+
 /// Parts of a prompt that are read from a header.
 const MAX_PARTS: usize = 16;
 
@@ -209,12 +213,20 @@
 /// Results of a request's stages, freed when it is dropped.
 struct Results {
     gateway: Rc<Gateway>,
-    made: RefCell<Vec<stages::Made>>,
+    made: RefCell<Vec<(usize, stages::Made)>>,
 }
 
 impl Results {
     fn free(&self) {
-        for made in self.made.take() {
+        self.free_where(|_| true);
+    }
+
+    fn free_where(&self, is_used: impl Fn(usize) -> bool) {
+        let made = self.made.take();
+        let (used, kept): (Vec<_>, Vec<_>) =
+            made.into_iter().partition(|(stage, _)| is_used(*stage));
+        *self.made.borrow_mut() = kept;
+        for (_, made) in used {
             stages::free(&self.gateway, made);
         }
     }
@@ -279,6 +291,8 @@
     tried: RefCell<Vec<Name>>,
     results: Results,
     inputs: RefCell<Vec<Name>>,
+    /// Region in which it runs best.
+    region: RefCell<Name>,
     _running: Running,
 }
 
@@ -406,6 +420,7 @@
             made: RefCell::default(),
         },
         inputs: RefCell::default(),
+        region: RefCell::new(gateway.own.region.clone()),
         _running: running,
     })
 }
@@ -588,7 +603,7 @@
         let mut running = FuturesUnordered::new();
         loop {
             for (stage, count, input) in plan.start() {
-                let pieces = self.pieces(stage, count, &input);
+                let pieces = self.pieces(stage, count, &counts, &input);
                 let service = self.route.stages[stage].service.clone();
                 running.push(async move {
                     let result = stages::run(&self.gateway, &service, pieces).await;
@@ -602,14 +617,46 @@
                 Refusal::not_run(format!("stage {stage}: {}", failure_text(failure)))
             })?;
             plan.finish(stage, made.results.clone());
-            self.results.made.borrow_mut().push(made);
+            self.results.made.borrow_mut().push((stage, made));
+            self.results.free_where(|stage| plan.is_used(stage));
         }
         self.stages_ms.set(self.ms());
+        self.follow_results();
         *self.inputs.borrow_mut() = plan.inputs();
         Ok(())
     }
 
-    fn pieces(&self, stage: usize, count: usize, input: &plan::Input) -> Vec<Piece> {
+    /// Runs the request in the region that holds most of its results, where they are large.
+    fn follow_results(&self) {
+        let mut bytes: std::collections::BTreeMap<Name, u64> = std::collections::BTreeMap::new();
+        for (stage, made) in &*self.results.made.borrow() {
+            for result in &made.results {
+                if let Some(region) = stages::region_of_result(&self.gateway, result) {
+                    *bytes.entry(region).or_default() += self.route.stages[*stage].result_bytes;
+                }
+            }
+        }
+        let most = bytes.into_iter().max_by_key(|&(_, bytes)| bytes);
+        if let Some((region, bytes)) = most
+            && bytes >= HEAVY_BYTES
+        {
+            *self.region.borrow_mut() = region;
+        }
+    }
+
+    fn pieces(
+        &self,
+        stage: usize,
+        count: usize,
+        counts: &[usize],
+        input: &plan::Input,
+    ) -> Vec<Piece> {
+        let before = self.route.stages[stage].after.iter();
+        let bytes = before.map(|&before| {
+            let pieces = counts.get(before).copied().unwrap_or(0) as u64;
+            self.route.stages[before].result_bytes * pieces
+        });
+        let input_bytes: u64 = bytes.sum();
         let after_ms = plan::after_ms(&self.route.stages, stage, &self.config) + RUN_MS;
         let piece = |index| Piece {
             request: self.id.clone(),
@@ -617,6 +664,7 @@
             index,
             input: input.clone(),
             result_bytes: self.route.stages[stage].result_bytes,
+            input_bytes,
             wanted: self.arrived.after_ms(self.route.objective_ms),
             deadline: self.deadline,
             after_ms,
@@ -650,7 +698,7 @@
                 &ask,
                 &|server| self.is_allowed(&server.entry.data_centre),
                 &|server| {
-                    self.gateway.region_of(&server.entry.data_centre) == self.gateway.own.region
+                    self.gateway.region_of(&server.entry.data_centre) == *self.region.borrow()
                 },
             );
             match placed {
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -232,6 +232,14 @@
             }
             Err(error) => Err(error),
         },
+        peers::PROGRESS_PATH => match postcard::from_bytes(&body) {
+            Ok(progress) => {
+                stages::heard_progress(gateway, progress);
+                Ok(Vec::new())
+            }
+            Err(error) => Err(error),
+        },
+        peers::PING_PATH => Ok(Vec::new()),
         _ => return with_status(StatusCode::NOT_FOUND, ""),
     };
     match reply {
@@ -242,9 +250,10 @@
 
 async fn run_pieces(gateway: &Rc<Gateway>, ask: peers::Ask) -> peers::Reply {
     let service = ask.service.clone();
+    let may_forward = !ask.is_forwarded;
     let pieces = ask.pieces(gateway.now());
-    match stages::run_here(gateway, &service, pieces).await {
-        Ok(results) => peers::Reply::Results(results),
+    match stages::run_as_owner(gateway, &service, pieces, may_forward).await {
+        Ok((owner, results)) => peers::Reply::Results { results, owner },
         Err(failure) => peers::Reply::Failed(failure.into()),
     }
 }
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -170,6 +170,10 @@
         pieces: usize,
         /// Pieces that wait.
         waiting: usize,
+        /// Pieces whose results found no room.
+        no_room: usize,
+        /// Bytes of results that this host believes the server to hold.
+        held_bytes: u64,
         /// How it ended.
         outcome: &'a str,
         /// How long it took.
@@ -311,10 +315,13 @@
                 server,
                 pieces,
                 waiting,
+                no_room,
+                held_bytes,
                 outcome,
                 ms,
             } => slog::info!(log, "batch"; "service" => %service, "server" => %server,
-                "pieces" => pieces, "waiting" => waiting, "outcome" => outcome, "ms" => ms),
+                "pieces" => pieces, "waiting" => waiting, "no_room" => no_room,
+                "held_bytes" => held_bytes, "outcome" => outcome, "ms" => ms),
             // All others are written by the caller.
             _ => {}
         }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -33,7 +33,8 @@
         },
         config::Config,
         hosts,
-        servers, //
+        servers,
+        spill, //
     },
     edges::gateway::Adapter,
     names::Name,
@@ -93,6 +94,7 @@
     budget: RefCell<Budget>,
     queues: RefCell<HashMap<Name, Rc<stages::Gatherer>>>,
     unneeded: stages::Unneeded,
+    far: RefCell<spill::Map>,
     pool: Rc<upstream::Pool>,
     store: store::State,
     /// Requests and connections that run.
@@ -205,6 +207,7 @@
         budget: RefCell::new(budget),
         queues: RefCell::default(),
         unneeded: stages::Unneeded::default(),
+        far: RefCell::default(),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
         running: Cell::default(),
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -40,6 +40,16 @@
 /// Path of the call by which a host learns that results aren't needed any more.
 pub(super) const FREE_PATH: &str = "/v1/free";
 
+/// Path of the call by which a host tells how far its region is with the pieces of a service.
+pub(super) const PROGRESS_PATH: &str = "/v1/progress";
+
+/// Path of the call by which a host shows that it lives.
+pub(super) const PING_PATH: &str = "/v1/ping";
+
+/// Time after which a host that hasn't answered is asked whether it lives, in milliseconds. A call
+/// with pieces takes a few hundred milliseconds, and pieces wait for several.
+const PING_MS: u64 = 400;
+
 /// Largest body of a call between hosts, in bytes.
 pub(super) const MAX_BODY_BYTES: usize = 1024 * 1024;
 
@@ -53,9 +63,13 @@
     pieces: u32,
     input: WireInput,
     result_bytes: u64,
+    /// Size of the results that one piece works on, in bytes.
+    input_bytes: u64,
     wanted_in_ms: i64,
     deadline_in_ms: i64,
     after_ms: u64,
+    /// Whether they come from the owner of another region, so that they go no further.
+    pub(super) is_forwarded: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -67,8 +81,13 @@
 /// How the pieces went.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Reply {
-    /// Their results, in order.
-    Results(Vec<Name>),
+    /// Their results.
+    Results {
+        /// The results, in order of their pieces.
+        results: Vec<Name>,
+        /// The host that gathered the calls, where it isn't the one that was asked.
+        owner: Option<SocketAddr>,
+    },
     /// One failed.
     Failed(WireFailure),
 }
@@ -147,9 +166,11 @@
                 Input::Results(results) => WireInput::Results(results.clone()),
             },
             result_bytes: first.result_bytes,
+            input_bytes: first.input_bytes,
             wanted_in_ms: in_ms(now, first.wanted),
             deadline_in_ms: in_ms(now, first.deadline),
             after_ms: first.after_ms,
+            is_forwarded: false,
         })
     }
 
@@ -166,6 +187,7 @@
             index,
             input: input.clone(),
             result_bytes: self.result_bytes,
+            input_bytes: self.input_bytes,
             wanted: at_ms(now, self.wanted_in_ms),
             deadline: at_ms(now, self.deadline_in_ms),
             after_ms: self.after_ms,
@@ -181,15 +203,51 @@
     pub(super) results: Vec<Name>,
 }
 
-/// Asks a host to run pieces.
+/// How far the servers of a service in a region are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Progress {
+    pub(super) service: Name,
+    pub(super) region: Name,
+    /// The host that says so, where other hosts reach it.
+    pub(super) owner: SocketAddr,
+    /// In how many milliseconds a piece that comes now would be done.
+    pub(super) done_ms: u64,
+    /// Room for results, in bytes.
+    pub(super) room_bytes: u64,
+}
+
+/// Tells a host how far the servers of a service are in this region.
+pub(super) async fn tell_progress(
+    gateway: &Gateway,
+    address: SocketAddr,
+    progress: &Progress,
+    limit_ms: u64,
+) -> Result<(), Error> {
+    call(gateway, address, PROGRESS_PATH, progress, limit_ms).await?;
+    Ok(())
+}
+
+/// Asks a host to run pieces, and goes on waiting while it shows that it lives.
 pub(super) async fn run_pieces(
     gateway: &Gateway,
     address: SocketAddr,
     ask: &Ask,
     limit_ms: u64,
 ) -> Result<Reply, Error> {
-    let body = call(gateway, address, PIECES_PATH, ask, limit_ms).await?;
-    postcard::from_bytes(&body).map_err(|error| Error::Malformed(error.to_string()))
+    let answer = call(gateway, address, PIECES_PATH, ask, limit_ms);
+    tokio::pin!(answer);
+    loop {
+        let pause = tokio::time::sleep(Duration::from_millis(PING_MS));
+        tokio::select! {
+            body = &mut answer => {
+                let malformed = |error: postcard::Error| Error::Malformed(error.to_string());
+                return postcard::from_bytes(&body?).map_err(malformed);
+            }
+            () = pause => {
+                call(gateway, address, PING_PATH, &(), PING_MS).await?;
+            }
+        }
+    }
 }
 
 /// Tells a host that results aren't needed any more.
--- a/src/shell/gateway/stages.rs
+++ b/src/shell/gateway/stages.rs
@@ -43,6 +43,8 @@
             Role,
             Stages, //
         },
+        plan::Input,
+        spill,
     },
     edges::gateway::Failure,
     names::Name,
@@ -68,6 +70,18 @@
 /// Time that a call which frees results may take, in milliseconds.
 const FREE_LIMIT_MS: u64 = 1_000;
 
+/// Time that news of progress may take, in milliseconds.
+const PROGRESS_LIMIT_MS: u64 = 400;
+
+/// Change of the expected time from which other regions hear of it, in milliseconds.
+const NEWS_MS: u64 = 40;
+
+/// Time after which they hear of it without a change, in milliseconds.
+const REPEAT_MS: u64 = 350;
+
+/// Size of inputs from which pieces go to where they lie, in bytes.
+const HEAVY_BYTES: u64 = 300_000;
+
 /// Largest answer of a server, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 
@@ -79,6 +93,7 @@
     queue: RefCell<Queue>,
     waiters: RefCell<HashMap<Ticket, (Waiter, u32)>>,
     avoided_owner: Cell<Option<Instant>>,
+    told: RefCell<Option<(Instant, peers::Progress)>>,
 }
 
 /// Takes pieces out of the queue when nobody waits for them any more.
@@ -104,6 +119,7 @@
             queue: RefCell::default(),
             waiters: RefCell::default(),
             avoided_owner: Cell::default(),
+            told: RefCell::default(),
         })
     };
     queues.entry(service.clone()).or_insert_with(new).clone()
@@ -166,21 +182,16 @@
 
 async fn run_at_owner(gateway: &Rc<Gateway>, service: &Name, pieces: Vec<Piece>) -> (Name, Ran) {
     let own = gateway.own.host.clone();
-    let here = |result: Result<Vec<Name>, Failure>| result.map(|results| (None, results));
-    let Some((owner, address)) = owner(gateway, service) else {
-        return (own, here(run_here(gateway, service, pieces).await));
-    };
-    let now = gateway.now();
-    let Some(ask) = peers::Ask::new(now, service, &pieces) else {
-        return (own, here(Ok(Vec::new())));
+    let region = input_region(gateway, &pieces);
+    let region = region.unwrap_or_else(|| gateway.own.region.clone());
+    let Some((owner, address)) = owner(gateway, service, &region) else {
+        return (own, run_as_owner(gateway, service, pieces, true).await);
     };
-    let limit_ms = owner_limit_ms(gateway, service, now, &pieces);
-    match peers::run_pieces(gateway, address, &ask, limit_ms).await {
-        Ok(Reply::Results(results)) if results.len() == pieces.len() => {
-            (owner, Ok((Some(address), results)))
-        }
-        Ok(Reply::Results(_)) => (owner, Err(Failure::Failed)),
-        Ok(Reply::Failed(failure)) => (owner, Err(failure.into())),
+    if owner == own {
+        return (own, run_as_owner(gateway, service, pieces, true).await);
+    }
+    match ask_owner(gateway, address, service, &pieces, false).await {
+        Ok(ran) => (owner, ran),
         Err(error) => {
             let until = gateway.now().after_ms(AVOID_HOST_MS);
             gatherer(gateway, service).avoided_owner.set(Some(until));
@@ -189,38 +200,125 @@
                 up: false,
                 why: &error.to_string(),
             });
-            (own, here(run_here(gateway, service, pieces).await))
+            (own, run_as_owner(gateway, service, pieces, true).await)
         }
     }
 }
 
-/// Returns how long another host may take, in milliseconds. A piece has to wait there and to run.
-fn owner_limit_ms(gateway: &Gateway, service: &str, now: Instant, pieces: &[Piece]) -> u64 {
-    let left_ms = pieces
+/// Returns the region in which the results lie that pieces work on, where moving them costs more
+/// than asking there.
+fn input_region(gateway: &Gateway, pieces: &[Piece]) -> Option<Name> {
+    let first = pieces.first()?;
+    if first.input_bytes * (pieces.len() as u64) < HEAVY_BYTES {
+        return None;
+    }
+    let Input::Results(inputs) = &first.input else {
+        return None;
+    };
+    region_of_result(gateway, inputs.first()?)
+}
+
+/// Returns the region of the server that holds a result.
+pub(super) fn region_of_result(gateway: &Gateway, result: &str) -> Option<Name> {
+    let holder = gateway.adapter.holder(result)?;
+    let servers = gateway.servers.borrow();
+    let server = servers.get(&servers.at(holder)?)?;
+    Some(gateway.region_of(&server.entry.data_centre))
+}
+
+async fn ask_owner(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    service: &Name,
+    pieces: &[Piece],
+    is_forwarded: bool,
+) -> Result<Ran, peers::Error> {
+    let now = gateway.now();
+    let Some(mut ask) = peers::Ask::new(now, service, pieces) else {
+        return Ok(Ok((None, Vec::new())));
+    };
+    ask.is_forwarded = is_forwarded;
+    let limit_ms = pieces
         .first()
         .map_or(0, |piece| piece.deadline.since_ms(now));
-    let usual_ms = stages_of(gateway, service).map_or(0.0, |stages| {
-        stages.call_ms + stages.piece_ms * stages.batch as f64
-    });
-    // Half of what is left stays for running the pieces from here.
-    (left_ms / 2).max((usual_ms * 2.0) as u64)
+    match peers::run_pieces(gateway, address, &ask, limit_ms).await? {
+        Reply::Results { results, owner } if results.len() == pieces.len() => {
+            Ok(Ok((Some(owner.unwrap_or(address)), results)))
+        }
+        Reply::Results { .. } => Ok(Err(Failure::Failed)),
+        Reply::Failed(failure) => Ok(Err(failure.into())),
+    }
 }
 
-/// Returns the host that gathers calls of a service in this region, where it is another one.
-fn owner(gateway: &Gateway, service: &Name) -> Option<(Name, SocketAddr)> {
+/// Runs pieces as the host that gathers the calls of this region: here, or in another region that is
+/// less behind.
+pub(super) async fn run_as_owner(
+    gateway: &Rc<Gateway>,
+    service: &Name,
+    pieces: Vec<Piece>,
+    may_forward: bool,
+) -> Ran {
+    let far = if may_forward {
+        choose_region(gateway, service, &pieces)
+    } else {
+        None
+    };
+    if let Some(address) = far
+        && let Ok(ran) = ask_owner(gateway, address, service, &pieces, true).await
+    {
+        return ran;
+    }
+    let results = run_here(gateway, service, pieces).await?;
+    Ok((None, results))
+}
+
+fn choose_region(gateway: &Gateway, service: &Name, pieces: &[Piece]) -> Option<SocketAddr> {
+    let first = pieces.first()?;
+    let stages = stages_of(gateway, service)?;
+    let now = gateway.now();
+    let servers = near_servers(gateway, service);
+    let gatherer = gatherer(gateway, service);
+    let own_done_ms = gatherer.queue.borrow().estimate_ms(
+        now,
+        &stages,
+        &servers,
+        pieces.len(),
+        first.result_bytes,
+    );
+    let ask = spill::Ask {
+        pieces: pieces.len(),
+        result_bytes: first.result_bytes,
+        input_bytes: first.input_bytes,
+        piece_ms: stages.piece_ms as u64,
+        own_done_ms,
+    };
+    gateway.far.borrow_mut().choose(now, service, ask)
+}
+
+/// Takes news of another region.
+pub(super) fn heard_progress(gateway: &Gateway, progress: peers::Progress) {
+    let far = spill::Far {
+        owner: progress.owner,
+        done_ms: progress.done_ms,
+        room_bytes: progress.room_bytes,
+        heard: gateway.now(),
+    };
+    let mut map = gateway.far.borrow_mut();
+    map.heard(progress.service, progress.region, far);
+}
+
+/// Returns the host that gathers calls of a service in a region.
+fn owner(gateway: &Gateway, service: &Name, region: &Name) -> Option<(Name, SocketAddr)> {
     let now = gateway.now();
     let avoided = gatherer(gateway, service).avoided_owner.get();
-    if avoided.is_some_and(|until| now < until) {
+    if *region == gateway.own.region && avoided.is_some_and(|until| now < until) {
         return None;
     }
     let hosts = gateway.hosts.borrow();
     let near = hosts
         .live(now)
-        .filter(|host| host.beat.serving && host.beat.region == gateway.own.region);
+        .filter(|host| host.beat.serving && host.beat.region == *region);
     let owner = near.max_by_key(|host| balance::hash(&[&host.beat.host, service]))?;
-    if owner.beat.host == gateway.own.host {
-        return None;
-    }
     Some((owner.beat.host.clone(), owner.beat.peers))
 }
 
@@ -252,7 +350,13 @@
     let mut results = Vec::with_capacity(receivers.len());
     for receiver in receivers {
         // A waiter that is dropped belongs to a call that failed without a word.
-        results.push(receiver.await.unwrap_or(Err(Failure::Failed))?);
+        match receiver.await.unwrap_or(Err(Failure::Failed)) {
+            Ok(result) => results.push(result),
+            Err(failure) => {
+                free(gateway, made_here(service, results));
+                return Err(failure);
+            }
+        }
     }
     Ok(results)
 }
@@ -263,11 +367,11 @@
         return;
     };
     let now = gateway.now();
-    let lost = gatherer.queue.borrow_mut().expire(now, &stages);
+    let servers = servers(gateway, &gatherer.service);
+    let lost = gatherer.queue.borrow_mut().expire(now, &stages, &servers);
     for ticket in lost {
-        answer(gatherer, ticket, Err(Failure::Late));
+        answer(gateway, gatherer, ticket, Err(Failure::Late));
     }
-    let servers = servers(gateway, &gatherer.service);
     loop {
         let call = gatherer.queue.borrow_mut().next(now, &stages, &servers);
         let Some(call) = call else { break };
@@ -280,28 +384,47 @@
     }
 }
 
-/// Returns the servers of a service that this host uses, the nearest first.
+/// Returns the servers of a service that this host uses: those of its region, if there are any.
 fn servers(gateway: &Gateway, service: &str) -> Vec<Name> {
-    let table = gateway.servers.borrow();
-    let is_near = |data_centre: &Name| gateway.region_of(data_centre) == gateway.own.region;
-    let near: Vec<Name> = table
-        .usable(service)
-        .filter(|server| is_near(&server.entry.data_centre))
-        .map(|server| server.entry.id.clone())
-        .collect();
+    let near = near_servers(gateway, service);
     if !near.is_empty() {
         return near;
     }
-    table
+    let table = gateway.servers.borrow();
+    let all = table.usable(service);
+    all.map(|server| server.entry.id.clone()).collect()
+}
+
+fn near_servers(gateway: &Gateway, service: &str) -> Vec<Name> {
+    let table = gateway.servers.borrow();
+    let near = table
         .usable(service)
-        .map(|server| server.entry.id.clone())
-        .collect()
+        .filter(|server| gateway.region_of(&server.entry.data_centre) == gateway.own.region);
+    near.map(|server| server.entry.id.clone()).collect()
+}
+
+fn made_here(service: &Name, results: Vec<Name>) -> Made {
+    Made {
+        service: service.clone(),
+        owner: None,
+        results,
+    }
 }
 
-fn answer(gatherer: &Gatherer, ticket: Ticket, result: Result<Name, Failure>) {
-    if let Some((waiter, _)) = gatherer.waiters.borrow_mut().remove(&ticket) {
-        // Whoever waited may have left meanwhile.
-        let _ = waiter.send(result);
+fn answer(
+    gateway: &Rc<Gateway>,
+    gatherer: &Gatherer,
+    ticket: Ticket,
+    result: Result<Name, Failure>,
+) {
+    let waiter = gatherer.waiters.borrow_mut().remove(&ticket);
+    let unwanted = match waiter {
+        Some((waiter, _)) => waiter.send(result).err(),
+        None => Some(result),
+    };
+    // Whoever waited has left, so nobody will free the result.
+    if let Some(Ok(result)) = unwanted {
+        free(gateway, made_here(&gatherer.service, vec![result]));
     }
 }
 
@@ -312,6 +435,19 @@
     Lost(String),
 }
 
+impl End {
+    /// Returns the number of pieces whose results found no room.
+    fn without_room(&self) -> usize {
+        let Self::Results(results) = self else {
+            return 0;
+        };
+        let without = results
+            .iter()
+            .filter(|result| **result == Err(Failure::NoRoom));
+        without.count()
+    }
+}
+
 async fn run_call(gateway: &Rc<Gateway>, gatherer: &Gatherer, stages: Stages, call: Call) {
     let start = gateway.now();
     let usual_ms = stages.call_ms + stages.piece_ms * call.pieces.len() as f64;
@@ -334,6 +470,8 @@
         server: &call.server,
         pieces: call.pieces.len(),
         waiting: gatherer.queue.borrow().len(),
+        no_room: end.without_room(),
+        held_bytes: gatherer.queue.borrow().held_bytes(&call.server),
         outcome,
         ms: now.since_ms(start),
     });
@@ -356,7 +494,7 @@
         if may_retry && take_retry(gateway, gatherer, ticket) {
             gatherer.queue.borrow_mut().put_back(ticket, piece);
         } else {
-            answer(gatherer, ticket, result);
+            answer(gateway, gatherer, ticket, result);
         }
     }
 }
@@ -450,7 +588,8 @@
     request.body(Full::new(call.body)).ok()
 }
 
-/// Sends what became free to be sent with time alone.
+/// Does what falls due with time: sends what became free to be sent, and tells other regions how far
+/// this one is.
 pub(super) fn tick(gateway: &Rc<Gateway>) {
     let gatherers: Vec<_> = gateway.queues.borrow().values().cloned().collect();
     for gatherer in gatherers {
@@ -458,6 +597,72 @@
             pump(gateway, &gatherer);
         }
     }
+    let Some(config) = gateway.config() else {
+        return;
+    };
+    for service in config.services.values() {
+        if let Role::Stages(stages) = service.role {
+            tell_progress(gateway, &service.name, &stages);
+        }
+    }
+}
+
+/// Tells the owners of other regions how far this one is, if this host is its owner.
+fn tell_progress(gateway: &Rc<Gateway>, service: &Name, stages: &Stages) {
+    let own = &gateway.own;
+    let is_owner = owner(gateway, service, &own.region).is_some_and(|(name, _)| name == own.host);
+    if !is_owner {
+        return;
+    }
+    let now = gateway.now();
+    let servers = near_servers(gateway, service);
+    let gatherer = gatherer(gateway, service);
+    let queue = gatherer.queue.borrow();
+    let Some(done_ms) = queue.estimate_ms(now, stages, &servers, 1, 0) else {
+        return;
+    };
+    let progress = peers::Progress {
+        service: service.clone(),
+        region: own.region.clone(),
+        owner: gateway.options.borrow().listen.peers,
+        done_ms,
+        room_bytes: queue.room_bytes(stages, &servers),
+    };
+    drop(queue);
+    if !gatherer.is_news(now, &progress) {
+        return;
+    }
+    let regions: std::collections::BTreeSet<Name> = {
+        let options = gateway.options.borrow();
+        options.regions.values().cloned().collect()
+    };
+    for region in regions.iter().filter(|region| **region != own.region) {
+        let Some((_, address)) = owner(gateway, service, region) else {
+            continue;
+        };
+        let gateway = gateway.clone();
+        let progress = progress.clone();
+        tokio::task::spawn_local(async move {
+            // News that is lost is followed by more, and is stale soon anyway.
+            let _ = peers::tell_progress(&gateway, address, &progress, PROGRESS_LIMIT_MS).await;
+        });
+    }
+}
+
+impl Gatherer {
+    /// Returns whether other regions should hear of this progress, and notes that they did.
+    fn is_news(&self, now: Instant, progress: &peers::Progress) -> bool {
+        let mut told = self.told.borrow_mut();
+        if let Some((at, before)) = &*told {
+            let change_ms = progress.done_ms.abs_diff(before.done_ms);
+            let age_ms = now.since_ms(*at);
+            if change_ms < NEWS_MS && age_ms < REPEAT_MS {
+                return false;
+            }
+        }
+        *told = Some((now, progress.clone()));
+        true
+    }
 }
 
 /// Where results are that aren't needed any more, and who has to learn that.
--- a/src/shell/gateway/store.rs
+++ b/src/shell/gateway/store.rs
@@ -47,14 +47,14 @@
 
 /// Longest wait of a read for the operators' next record, in milliseconds. Short, so that a
 /// connection that fell silent for good is noticed well within the time that a change may take.
-const WAIT_MS: u64 = 1_200;
+const WAIT_MS: u64 = 1_800;
 
 /// Time for which a call without a wait may take, in milliseconds. A slow store takes 60 times its
 /// 4 ms, and a call goes over more than one way.
 const CALL_MS: u64 = 900;
 
 /// Pause between reads of topics that change all the time, in milliseconds. Each read is paid for.
-const PAUSE_MS: u64 = 350;
+const PAUSE_MS: u64 = 800;
 
 /// Pause after a failure, in milliseconds.
 const RETRY_MS: u64 = 150;
@@ -160,9 +160,7 @@
             Ok(next) => {
                 failures = 0;
                 from = Some(next);
-                if topic != Topic::Operator {
-                    tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
-                }
+                tokio::time::sleep(Duration::from_millis(pause_ms(topic))).await;
             }
             Err(error) => {
                 if matches!(error, Error::Status(GONE) | Error::Malformed(_)) {
@@ -176,6 +174,15 @@
     }
 }
 
+/// Returns the pause between two reads of a topic.
+fn pause_ms(topic: Topic) -> u64 {
+    match topic {
+        Topic::Operator => 0,
+        Topic::Servers => PAUSE_MS,
+        Topic::Hosts => HEARTBEAT_MS,
+    }
+}
+
 /// Notes how a call went, and logs when the store is lost or back.
 fn note(gateway: &Gateway, topic: Topic, error: Option<&Error>) {
     let now = gateway.now();
