Keep the pieces of a request together, and count room as free once its server knows

Cause: pieces of one request were spread over calls, so the first held room while the last waited; results counted as freed 40 ms before their server heard of it.

--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -239,19 +239,25 @@
         order: &[(bool, u64, Ticket)],
     ) -> Option<Call> {
         let mut left = room;
-        let mut chosen = Vec::new();
-        for (_, _, ticket) in order {
-            let Some(piece) = self.waiting.get(ticket) else {
-                continue;
-            };
-            if piece.result_bytes <= left {
-                left -= piece.result_bytes;
-                chosen.push(*ticket);
-            }
-            if chosen.len() >= stages.batch.max(1) {
-                break;
+        let mut chosen: Vec<Ticket> = Vec::new();
+        for group in order.chunk_by(|one, other| self.is_same_stage(one.2, other.2)) {
+            let pieces = group
+                .iter()
+                .filter_map(|&(_, _, ticket)| Some((ticket, self.waiting.get(&ticket)?)));
+            let (tickets, bytes): (Vec<Ticket>, Vec<u64>) = pieces
+                .map(|(ticket, piece)| (ticket, piece.result_bytes))
+                .unzip();
+            let bytes: u64 = bytes.iter().sum();
+            // The first pieces of a request are of no use before its last, and take room meanwhile.
+            if bytes <= left && chosen.len() + tickets.len() <= stages.batch.max(1) {
+                left -= bytes;
+                chosen.extend(tickets);
             }
         }
+        if chosen.is_empty() {
+            // A request that is larger than a call or than what room is left goes in parts.
+            (chosen, left) = self.fill_in_parts(stages, room, order);
+        }
         if chosen.is_empty() {
             return None;
         }
@@ -270,6 +276,36 @@
         })
     }
 
+    fn fill_in_parts(
+        &self,
+        stages: &Stages,
+        room: u64,
+        order: &[(bool, u64, Ticket)],
+    ) -> (Vec<Ticket>, u64) {
+        let mut left = room;
+        let mut chosen = Vec::new();
+        for &(_, _, ticket) in order {
+            let bytes = self.waiting.get(&ticket).map(|piece| piece.result_bytes);
+            let Some(bytes) = bytes.filter(|&bytes| bytes <= left) else {
+                continue;
+            };
+            left -= bytes;
+            chosen.push(ticket);
+            if chosen.len() >= stages.batch.max(1) {
+                break;
+            }
+        }
+        (chosen, left)
+    }
+
+    fn is_same_stage(&self, one: Ticket, other: Ticket) -> bool {
+        let stage = |ticket| {
+            let piece = self.waiting.get(&ticket)?;
+            Some((&piece.request, piece.stage))
+        };
+        stage(one) == stage(other)
+    }
+
     /// Notes that a call ended, with the results of its pieces. A server that failed it is left
     /// alone for a while.
     pub fn finished(
--- a/src/core/gateway/spill.rs
+++ b/src/core/gateway/spill.rs
@@ -13,9 +13,9 @@
 /// Age from which news of another region isn't used, in milliseconds. Several messages may be lost.
 const STALE_MS: u64 = 800;
 
-/// Time by which another region has to be faster, in milliseconds: two ways between regions and a
-/// part of a call.
-const MARGIN_MS: u64 = 100;
+/// Time by which another region has to be faster, in milliseconds: two ways between regions and
+/// the age of the news.
+const MARGIN_MS: u64 = 60;
 
 /// Time that results count as which have to cross regions, in milliseconds for each megabyte. A
 /// megabyte costs about a tenth of what an answer in time is worth.
--- a/src/shell/gateway/stages.rs
+++ b/src/shell/gateway/stages.rs
@@ -12,6 +12,10 @@
 };
 
 use bytes::Bytes;
+use futures_util::stream::{
+    FuturesUnordered,
+    StreamExt, //
+};
 use http::Request;
 use http_body_util::{
     BodyExt,
@@ -65,7 +69,7 @@
 
 /// Time for which results are gathered before their server is told that they aren't needed, in
 /// milliseconds.
-const FREE_MS: u64 = 40;
+const FREE_MS: u64 = 10;
 
 /// Time that a call which frees results may take, in milliseconds.
 const FREE_LIMIT_MS: u64 = 1_000;
@@ -712,15 +716,23 @@
     let mut by_holder: HashMap<SocketAddr, Vec<Name>> = HashMap::new();
     let gatherer = gatherer(gateway, service);
     for result in results {
-        gatherer.queue.borrow_mut().freed(&result);
         if let Some(holder) = gateway.adapter.holder(&result) {
             by_holder.entry(holder).or_default().push(result);
         }
     }
-    for (holder, results) in by_holder {
-        free_at(gateway, holder, &results).await;
+    let mut running: FuturesUnordered<_> = by_holder
+        .into_iter()
+        .map(|(holder, results)| async move {
+            free_at(gateway, holder, &results).await;
+            results
+        })
+        .collect();
+    while let Some(results) = running.next().await {
+        for result in &results {
+            gatherer.queue.borrow_mut().freed(result);
+        }
+        pump(gateway, &gatherer);
     }
-    pump(gateway, &gatherer);
 }
 
 async fn free_at(gateway: &Gateway, holder: SocketAddr, results: &[Name]) {
