--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use super::{
-    rate,
+    cache, rate,
     servers::{
         self,
         Server, //
@@ -21,12 +21,12 @@
 /// Longest time for which a server is avoided, in milliseconds.
 const MAX_AVOID_MS: u64 = 4_000;
 
-/// Time for which a part of a prompt is taken to be cached at the server that read it last, in
-/// milliseconds.
-const CACHED_MS: u64 = 20_000;
+/// Part of its prefill time that a token takes when it is fetched from another server's cache, as a
+/// divisor.
+const FETCH_DIVISOR: u64 = 8;
 
-/// Parts of prompts that are remembered, over all servers.
-const MAX_CACHED: usize = 16_384;
+/// Fewest tokens that are fetched from another server. Fewer are read as fast as fetched.
+const FETCH_TOKENS: u64 = 200;
 
 /// Tokens that a running request counts as: its decoding slows down prompts beside it.
 const RUNNING_TOKENS: u64 = 400;
@@ -86,6 +86,8 @@
     pub server: Name,
     /// Tokens of the prompt that it has to read.
     pub tokens: u64,
+    /// Server from whose cache it can take parts of the prompt.
+    pub source: Option<Name>,
     is_reading: bool,
 }
 
@@ -93,7 +95,7 @@
 #[derive(Debug, Default)]
 pub struct Balancer {
     loads: HashMap<Name, Load>,
-    cached: HashMap<(Name, Name), Instant>,
+    cache: cache::Directory,
     meter: rate::Meter,
 }
 
@@ -104,8 +106,8 @@
     /// Chooses a server and counts the request there.
     ///
     /// The load pattern: bursts of long prompts that share parts. A prompt goes where its parts are
-    /// cached, unless the prompts that wait there would take longer than reading it anew elsewhere.
-    /// All hosts find the same first choice by hashing, without asking each other.
+    /// cached, unless the prompts that wait there would take longer than getting it elsewhere.
+    /// Parts that nobody has go to a server found by hashing, the same on all hosts.
     ///
     /// # Errors
     ///
@@ -118,7 +120,7 @@
         is_allowed: Allowed<'_>,
         is_near: Allowed<'_>,
     ) -> Result<Placed, Error> {
-        let mut best: Option<(u64, u64, &Server, u64)> = None;
+        let mut best: Option<(u64, u64, &Server, u64, Option<Name>)> = None;
         let mut any = false;
         let first = self.first_choice(table, ask, is_allowed, is_near);
         for server in table.usable(ask.service) {
@@ -133,13 +135,13 @@
             let load = self.loads.get(id).copied().unwrap_or_default();
             let slots = u64::from(server.entry.slots.max(1));
             let near_hosts = ask.near_hosts.max(1) as u64;
-            let tokens = if first.as_ref() == Some(id) {
-                ask.prompt.last().map_or(0, |part| part.tokens)
-            } else {
-                self.missing_tokens(now, id, ask.prompt)
-            };
+            let (tokens, source) = self.tokens_to_read(now, table, id, ask.prompt);
             let running = u64::from(load.running) * near_hosts;
             let mut cost = load.prompt_tokens * near_hosts + tokens;
+            if first.as_ref() != Some(id) {
+                // Breaks ties where nobody has the prompt.
+                cost += FETCH_TOKENS;
+            }
             if ask.prompt.is_empty() {
                 // Plain requests: queues differ by the part of the slots that is taken.
                 cost += running * FAR_TOKENS / slots;
@@ -161,12 +163,12 @@
             let tie = hash(&[id, ask.prompt.first().map_or("", |part| &part.id)]);
             if best
                 .as_ref()
-                .is_none_or(|&(lowest, its_tie, _, _)| (cost, tie) < (lowest, its_tie))
+                .is_none_or(|&(lowest, its_tie, ..)| (cost, tie) < (lowest, its_tie))
             {
-                best = Some((cost, tie, server, tokens));
+                best = Some((cost, tie, server, tokens, source));
             }
         }
-        let Some((_, _, server, tokens)) = best else {
+        let Some((_, _, server, tokens, source)) = best else {
             return Err(if any { Error::Full } else { Error::NoServer });
         };
         let id = server.entry.id.clone();
@@ -174,6 +176,7 @@
         Ok(Placed {
             server: id,
             tokens,
+            source,
             is_reading: true,
         })
     }
@@ -183,12 +186,15 @@
         load.running += 1;
         load.prompt_tokens += tokens;
         self.meter.sent(now, id);
-        if self.cached.len() + prompt.len() > MAX_CACHED {
-            self.cached
-                .retain(|_, &mut at| now.since_ms(at) < CACHED_MS / 4);
+        for part in shared(prompt) {
+            self.cache.placed(now, cache::key(part), id);
         }
-        for part in prompt.iter().rev().skip(1) {
-            self.cached.insert((id.clone(), part.id.clone()), now);
+    }
+
+    /// Notes that another host placed parts at a server.
+    pub fn placed_elsewhere(&mut self, now: Instant, server: &Name, parts: &[cache::Key]) {
+        for &part in parts {
+            self.cache.placed(now, part, server);
         }
     }
 
@@ -199,8 +205,7 @@
         is_allowed: Allowed<'_>,
         is_near: Allowed<'_>,
     ) -> Option<Name> {
-        // The last part is the request's own, the one before it what requests share.
-        let shared = ask.prompt.iter().rev().nth(1)?;
+        let shared = shared(ask.prompt).last()?;
         table
             .usable(ask.service)
             .filter(|server| is_allowed(server) && is_near(server))
@@ -208,13 +213,30 @@
             .map(|server| server.entry.id.clone())
     }
 
-    fn missing_tokens(&self, now: Instant, id: &Name, prompt: &[Part]) -> u64 {
-        let is_cached = |part: &Part| {
-            let at = self.cached.get(&(id.clone(), part.id.clone()));
-            at.is_some_and(|&at| now.since_ms(at) < CACHED_MS)
+    /// Returns the tokens that a server has to read, as far as time goes, and the server from which
+    /// it can fetch others.
+    fn tokens_to_read(
+        &self,
+        now: Instant,
+        table: &servers::Table,
+        id: &Name,
+        prompt: &[Part],
+    ) -> (u64, Option<Name>) {
+        let tokens = |parts: &[Part]| parts.iter().map(|part| part.tokens).sum::<u64>();
+        let cached = self.cache.cached(now, prompt, id);
+        let is_usable = |name: &Name| {
+            let server = table.get(name);
+            name != id && server.is_some_and(|server| table.is_usable(server))
+        };
+        let missing = tokens(&prompt[cached..]);
+        let Some((source, count)) = self.cache.source(now, prompt, cached, is_usable) else {
+            return (missing, None);
         };
-        let missing = prompt.iter().skip_while(|part| is_cached(part));
-        missing.map(|part| part.tokens).sum()
+        let fetched = tokens(&prompt[cached..count]);
+        if fetched < FETCH_TOKENS {
+            return (missing, None);
+        }
+        (missing - fetched + fetched / FETCH_DIVISOR, Some(source))
     }
 
     /// Notes that the prompt was read: the first event came.
@@ -249,6 +271,7 @@
             self.loads.remove(id);
         }
         self.meter.forget(id);
+        self.cache.forget(id);
     }
 
     /// Returns the requests of this host that run at a server.
@@ -257,6 +280,11 @@
     }
 }
 
+/// Returns the parts that other requests may share: all but the last.
+pub fn shared(prompt: &[Part]) -> &[Part] {
+    prompt.split_last().map_or(&[], |(_, shared)| shared)
+}
+
 /// Hashes texts, the same on all hosts.
 pub fn hash(texts: &[&str]) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -34,6 +34,8 @@
     pub callers: SocketAddr,
     /// Where other hosts reach it.
     pub peers: SocketAddr,
+    /// Where other hosts send datagrams.
+    pub news: SocketAddr,
     /// Where it stands.
     pub data_centre: Name,
     /// Region of its data centre.
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod balance;
 pub mod batch;
 pub mod budget;
+pub mod cache;
 pub mod config;
 pub mod hosts;
 pub mod lookup;
--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -143,6 +143,8 @@
     pub pieces: HeaderName,
     /// Key of the input of pieces.
     pub piece_key: HeaderName,
+    /// Server from whose cache parts of the prompt can be fetched, set by the gateway.
+    pub cache_source: HeaderName,
     /// Results that the request needs, set by the gateway.
     pub inputs: HeaderName,
     /// The caller's credential, which is not passed on.
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -42,6 +42,8 @@
     pub lookup: SocketAddr,
     /// For other hosts.
     pub peers: SocketAddr,
+    /// For news of other hosts, by datagrams.
+    pub news: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
 }
--- a/src/shell/gateway/forward.rs
+++ b/src/shell/gateway/forward.rs
@@ -46,7 +46,7 @@
 use super::{
     Gateway,
     log::Event,
-    stages,
+    news, stages,
     upstream::{
         self,
         Lease,
@@ -184,6 +184,10 @@
         placed.map_or_else(|| "".into(), |placed| placed.server.clone())
     }
 
+    fn source(&self) -> Option<Name> {
+        self.placed.as_ref()?.source.clone()
+    }
+
     fn read(&mut self) {
         if let Some(placed) = &mut self.placed {
             self.gateway.balancer.borrow_mut().read(placed);
@@ -704,6 +708,7 @@
             match placed {
                 Ok(placed) => {
                     self.log_placed(now, &placed);
+                    news::placed(&self.gateway, &placed.server, &self.prompt);
                     return Ok(Place {
                         gateway: self.gateway.clone(),
                         placed: Some(placed),
@@ -777,7 +782,7 @@
             return Err(miss(End::NotSent, "server gone".to_string()));
         };
         let request = self
-            .request(&server, resume)
+            .request(&server, place.source(), resume)
             .ok_or_else(|| miss(End::NotSent, "request can't be written".to_string()))?;
         let reuse = if self.route.kind.is_repeatable() {
             Reuse::Any
@@ -909,7 +914,12 @@
         }
     }
 
-    fn request(&self, server: &Name, resume: Option<u64>) -> Option<Request<Full<Bytes>>> {
+    fn request(
+        &self,
+        server: &Name,
+        source: Option<Name>,
+        resume: Option<u64>,
+    ) -> Option<Request<Full<Bytes>>> {
         let names = self.gateway.adapter.headers();
         let mut headers = HeaderMap::with_capacity(self.headers.len() + 4);
         let nominated = text(&self.headers, &header::CONNECTION).to_ascii_lowercase();
@@ -923,6 +933,7 @@
             &names.expected_server,
             &names.priority,
             &names.inputs,
+            &names.cache_source,
             &names.credential,
             &header::CONTENT_LENGTH,
             &header::EXPECT,
@@ -947,6 +958,12 @@
         if let Some(organisation) = &self.organisation {
             headers.insert(&names.organisation, value(&organisation.name)?);
         }
+        if let Some(source) = source
+            && let Some(server) = self.gateway.servers.borrow().get(&source)
+        {
+            let address = value(&server.entry.address.to_string())?;
+            headers.insert(&names.cache_source, address);
+        }
         let inputs = self.inputs.borrow();
         if !inputs.is_empty() {
             let inputs: Vec<&str> = inputs.iter().map(Name::as_str).collect();
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -52,6 +52,7 @@
 mod log;
 mod metrics;
 mod net;
+mod news;
 mod peers;
 mod stages;
 mod store;
@@ -94,6 +95,7 @@
     budget: RefCell<Budget>,
     queues: RefCell<HashMap<Name, Rc<stages::Gatherer>>>,
     unneeded: stages::Unneeded,
+    untold: news::Untold,
     far: RefCell<spill::Map>,
     pool: Rc<upstream::Pool>,
     store: store::State,
@@ -170,6 +172,7 @@
         data_centre: &own.data_centre,
     });
     let listeners = front::bind(&gateway)?;
+    news::spawn(&gateway).context("can't listen for news")?;
     store::spawn(&gateway);
     front::spawn(&gateway, listeners);
     tokio::task::spawn_local(tick(gateway.clone()));
@@ -207,6 +210,7 @@
         budget: RefCell::new(budget),
         queues: RefCell::default(),
         unneeded: stages::Unneeded::default(),
+        untold: news::Untold::default(),
         far: RefCell::default(),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
--- a/src/shell/gateway/store.rs
+++ b/src/shell/gateway/store.rs
@@ -376,6 +376,7 @@
         host: gateway.own.host.clone(),
         callers: listen.callers,
         peers: listen.peers,
+        news: listen.news,
         data_centre: gateway.own.data_centre.clone(),
         region: gateway.own.region.clone(),
         incarnation: state.incarnation.get(),
