Judge by measured times whether pieces can be in time, and let urgent ones pass

Cause: the estimate for later stages was 300 ms each where bursts made it 700, so requests were found late at their last stage; and less urgent kinds took as much of full stages as urgent ones.

--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -20,6 +20,10 @@
 /// Part of a server's room that is planned with, in percent. Sizes of results are approximate.
 const ROOM_PERCENT: u64 = 92;
 
+/// Time by which a piece goes behind for each step of priority, in milliseconds: about a call. Urgent
+/// work passes others, and none waits for long.
+const PRIORITY_MS: u64 = 300;
+
 /// Calls that pass, as a rule, until results that fill a server's room are freed.
 const ROOM_CALLS: f64 = 2.0;
 
@@ -42,6 +46,8 @@
     pub wanted: Instant,
     /// When the request is given up.
     pub deadline: Instant,
+    /// Priority of the request, 0 is the most urgent.
+    pub priority: u8,
     /// Time that stages after this one and the request itself take, in milliseconds.
     pub after_ms: u64,
 }
@@ -403,5 +409,6 @@
     let own_ms = (stages.call_ms + stages.piece_ms) as u64;
     let start = piece.wanted.before_ms(piece.after_ms + own_ms);
     let is_late = now > start;
-    (is_late, start.as_ms(), ticket)
+    let place = start.after_ms(u64::from(piece.priority) * PRIORITY_MS);
+    (is_late, place.as_ms(), ticket)
 }
--- a/src/core/gateway/plan.rs
+++ b/src/core/gateway/plan.rs
@@ -1,5 +1,7 @@
 //! The stages of one request: which pieces can run, and whose results the request needs.
 
+use std::collections::HashMap;
+
 use super::config::{
     Config,
     Role,
@@ -143,21 +145,43 @@
     }
 }
 
-/// Returns the time that stages after one take at least, in milliseconds, with half of a call more
-/// for each, since a piece mostly waits for a call that runs.
-pub fn after_ms(stages: &[Stage], stage: usize, config: &Config) -> u64 {
-    let following = stages.iter().enumerate();
-    let following = following.filter(|(_, other)| other.after.contains(&stage));
-    let time = |(index, other): (usize, &Stage)| {
-        let own_ms = match config
-            .services
-            .get(&other.service)
-            .map(|service| service.role)
-        {
-            Some(Role::Stages(stages)) => stages.call_ms * 1.5,
-            _ => 0.0,
+/// Part of its time that a new measurement replaces in a mean, in percent.
+const NEW_PERCENT: u64 = 10;
+
+/// How long stages and requests lately took, by service.
+#[derive(Debug, Default)]
+pub struct Times(HashMap<Name, u64>);
+
+impl Times {
+    /// Takes a measurement, in milliseconds.
+    pub fn took(&mut self, service: &Name, ms: u64) {
+        let mean = self.0.entry(service.clone()).or_insert(ms);
+        *mean = (*mean * (100 - NEW_PERCENT) + ms * NEW_PERCENT) / 100;
+    }
+
+    /// Returns the mean of late, or `usual_ms` where nothing was measured.
+    pub fn mean_ms(&self, service: &str, usual_ms: u64) -> u64 {
+        self.0.get(service).copied().unwrap_or(usual_ms)
+    }
+
+    /// Returns the time that stages after one take, in milliseconds.
+    ///
+    /// The load pattern: a burst under which each stage takes longer than usual. A request that won't
+    /// be in time is known as such at its first stage, not at its last.
+    pub fn after_ms(&self, stages: &[Stage], stage: usize, config: &Config) -> u64 {
+        let following = stages.iter().enumerate();
+        let following = following.filter(|(_, other)| other.after.contains(&stage));
+        let time = |(index, other): (usize, &Stage)| {
+            let usual_ms = match config
+                .services
+                .get(&other.service)
+                .map(|service| service.role)
+            {
+                Some(Role::Stages(stages)) => stages.call_ms * 1.5,
+                _ => 0.0,
+            };
+            self.mean_ms(&other.service, usual_ms as u64) + self.after_ms(stages, index, config)
         };
-        own_ms as u64 + after_ms(stages, index, config)
-    };
-    following.map(time).max().unwrap_or(0)
+        following.map(time).max().unwrap_or(0)
+    }
 }
--- a/src/shell/gateway/forward.rs
+++ b/src/shell/gateway/forward.rs
@@ -610,7 +610,10 @@
                 let pieces = self.pieces(stage, count, &counts, &input);
                 let service = self.route.stages[stage].service.clone();
                 running.push(async move {
+                    let start = self.gateway.now();
                     let result = stages::run(&self.gateway, &service, pieces).await;
+                    let ms = self.gateway.now().since_ms(start);
+                    self.gateway.times.borrow_mut().took(&service, ms);
                     (stage, result)
                 });
             }
@@ -661,7 +664,11 @@
             self.route.stages[before].result_bytes * pieces
         });
         let input_bytes: u64 = bytes.sum();
-        let after_ms = plan::after_ms(&self.route.stages, stage, &self.config) + RUN_MS;
+        let after_ms = {
+            let times = self.gateway.times.borrow();
+            times.after_ms(&self.route.stages, stage, &self.config)
+                + times.mean_ms(&self.service, RUN_MS)
+        };
         let piece = |index| Piece {
             request: self.id.clone(),
             stage,
@@ -671,6 +678,7 @@
             input_bytes,
             wanted: self.arrived.after_ms(self.route.objective_ms),
             deadline: self.deadline,
+            priority: self.priority(),
             after_ms,
         };
         (0..count).map(piece).collect()
@@ -894,6 +902,8 @@
         match source.next().await {
             Chunk::Events(first) => {
                 source.place.read();
+                let ms = self.ms().saturating_sub(self.stages_ms.get());
+                self.gateway.times.borrow_mut().took(&self.service, ms);
                 // The server fetched the results before it read the prompt.
                 self.results.free();
                 Ok(Answer::Stream(Box::new(Stream {
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -33,6 +33,7 @@
         },
         config::Config,
         hosts,
+        plan,
         servers,
         spill, //
     },
@@ -95,6 +96,7 @@
     budget: RefCell<Budget>,
     queues: RefCell<HashMap<Name, Rc<stages::Gatherer>>>,
     unneeded: stages::Unneeded,
+    times: RefCell<plan::Times>,
     untold: news::Untold,
     far: RefCell<spill::Map>,
     pool: Rc<upstream::Pool>,
@@ -210,6 +212,7 @@
         budget: RefCell::new(budget),
         queues: RefCell::default(),
         unneeded: stages::Unneeded::default(),
+        times: RefCell::default(),
         untold: news::Untold::default(),
         far: RefCell::default(),
         pool: upstream::Pool::new(clock),
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -68,6 +68,7 @@
     wanted_in_ms: i64,
     deadline_in_ms: i64,
     after_ms: u64,
+    priority: u8,
     /// Whether they come from the owner of another region, so that they go no further.
     pub(super) is_forwarded: bool,
 }
@@ -170,6 +171,7 @@
             wanted_in_ms: in_ms(now, first.wanted),
             deadline_in_ms: in_ms(now, first.deadline),
             after_ms: first.after_ms,
+            priority: first.priority,
             is_forwarded: false,
         })
     }
@@ -191,6 +193,7 @@
             wanted: at_ms(now, self.wanted_in_ms),
             deadline: at_ms(now, self.deadline_in_ms),
             after_ms: self.after_ms,
+            priority: self.priority,
         };
         pieces.map(piece).collect()
     }
