Leave unreachable owners alone, and let hosts call the store for those that it refuses

After: hosts that answer no ping are left out until they do; ages stand still while the store can't be read, and reads and heartbeats go through another host where the store refuses this one; a server that had no room is taken as full for a while.

--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -17,6 +17,9 @@
 /// Time for which a server is left alone after a call that failed, in milliseconds.
 const AVOID_MS: u64 = 1_000;
 
+/// Time for which a server that had no room is taken to be full, in milliseconds: about two calls.
+const FOREIGN_MS: u64 = 600;
+
 /// Part of a server's room that is planned with, in percent. Sizes of results are approximate.
 const ROOM_PERCENT: u64 = 92;
 
@@ -72,13 +75,15 @@
     busy_until: Instant,
     avoid_until: Instant,
     reserved_bytes: u64,
+    // Results that others left there, as far as the server showed, and until when to believe it.
+    foreign: (u64, Instant),
     results: HashMap<Name, (u64, Instant)>,
 }
 
 impl Server {
     fn held_bytes(&self) -> u64 {
         let results = self.results.values().map(|&(bytes, _)| bytes);
-        self.reserved_bytes + results.sum::<u64>()
+        self.reserved_bytes + self.foreign.0 + results.sum::<u64>()
     }
 }
 
@@ -127,6 +132,9 @@
     pub fn expire(&mut self, now: Instant, stages: &Stages, servers: &[Name]) -> Vec<Ticket> {
         for server in self.servers.values_mut() {
             server.results.retain(|_, &mut (_, until)| now < until);
+            if now >= server.foreign.1 {
+                server.foreign.0 = 0;
+            }
         }
         let mut lost = Vec::new();
         let mut ends = Ends::new(self.free_in_ms(now, servers), stages);
@@ -340,6 +348,15 @@
         }
     }
 
+    /// Notes that a server had no room where this host thought that it had. Hosts that were killed
+    /// leave results behind, which go by themselves.
+    pub fn no_room(&mut self, now: Instant, stages: &Stages, name: &str) {
+        let left = self.room_left(stages, name);
+        if let Some(server) = self.servers.get_mut(name) {
+            server.foreign = (server.foreign.0 + left, now.after_ms(FOREIGN_MS));
+        }
+    }
+
     /// Notes that a result was freed.
     pub fn freed(&mut self, result: &str) {
         for server in self.servers.values_mut() {
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -63,6 +63,10 @@
     hosts: BTreeMap<Name, Host>,
     // Silence while the store was away says nothing, so ages are counted from here at the earliest.
     store_back: Instant,
+    // Since when the store is away, and ages stand still.
+    store_lost: Option<Instant>,
+    // Hosts that gave no sign of life when they were asked, and since when.
+    suspects: BTreeMap<Name, Instant>,
 }
 
 impl Table {
@@ -86,13 +90,45 @@
         is_new
     }
 
+    /// Notes that the store can't be read.
+    pub fn store_lost(&mut self, now: Instant) {
+        self.store_lost.get_or_insert(now);
+    }
+
     /// Notes that the store answered again after a time without answers.
     pub fn store_returned(&mut self, now: Instant) {
+        self.store_lost = None;
         self.store_back = now;
     }
 
+    /// Notes that a host gave no sign of life, or did again. Returns whether that is news.
+    ///
+    /// A host that is cut off from others may still reach the store, so that its heartbeats go on.
+    pub fn suspect(&mut self, now: Instant, host: &Name, is_silent: bool) -> bool {
+        if is_silent {
+            self.suspects.insert(host.clone(), now).is_none()
+        } else {
+            self.suspects.remove(host).is_some()
+        }
+    }
+
+    /// Returns the hosts that gave no sign of life, with their addresses for other hosts.
+    pub fn suspects(&self) -> Vec<(Name, SocketAddr)> {
+        let suspects = self.suspects.keys();
+        suspects
+            .filter_map(|name| Some((name.clone(), self.hosts.get(name)?.beat.peers)))
+            .collect()
+    }
+
+    /// Returns the hosts that live and answer this one.
+    pub fn reachable(&self, now: Instant) -> impl Iterator<Item = &Host> {
+        self.live(now)
+            .filter(|host| !self.suspects.contains_key(&host.beat.host))
+    }
+
     fn silence_ms(&self, now: Instant, host: &Host) -> Option<u64> {
         let heard = host.heard?;
+        let now = self.store_lost.unwrap_or(now);
         Some(now.since_ms(heard.max(self.store_back)))
     }
 
--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -18,7 +18,9 @@
 };
 
 /// A topic of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub enum Topic {
     /// What operators want.
     Operator,
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -42,6 +42,7 @@
     net, //
     peers,
     stages,
+    store,
 };
 use crate::core::gateway::lookup;
 
@@ -62,6 +63,9 @@
 /// Pause after a connection can't be accepted, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
+/// Time after which a listener looks whether the host has left, in milliseconds.
+const ACCEPT_WAIT_MS: u64 = 200;
+
 /// What a listener is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
@@ -113,7 +117,7 @@
         if purpose == Purpose::Callers && is_over() {
             return;
         }
-        let wait = Duration::from_millis(ACCEPT_PAUSE_MS * 4);
+        let wait = Duration::from_millis(ACCEPT_WAIT_MS);
         let stream = match tokio::time::timeout(wait, listener.accept()).await {
             Err(_) => continue,
             Ok(Ok((stream, _))) => stream,
@@ -239,6 +243,10 @@
             }
             Err(error) => Err(error),
         },
+        peers::RELAY_PATH => match postcard::from_bytes(&body) {
+            Ok(relay) => postcard::to_allocvec(&store::relay(gateway, relay).await),
+            Err(error) => Err(error),
+        },
         peers::PING_PATH => Ok(Vec::new()),
         _ => return with_status(StatusCode::NOT_FOUND, ""),
     };
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -19,6 +20,7 @@
 
 use super::{
     Gateway,
+    log::Event,
     upstream::{
         self,
         Reuse, //
@@ -27,9 +29,13 @@
 use crate::{
     core::gateway::{
         batch::Piece,
+        hosts::Heartbeat,
         plan::Input, //
     },
-    edges::gateway::Failure,
+    edges::gateway::{
+        Failure,
+        Topic, //
+    },
     names::Name,
     time::Instant,
 };
@@ -50,6 +56,9 @@
 /// with pieces takes a few hundred milliseconds, and pieces wait for several.
 const PING_MS: u64 = 400;
 
+/// Path of the call by which a host calls the store for another.
+pub(super) const RELAY_PATH: &str = "/v1/relay";
+
 /// Largest body of a call between hosts, in bytes.
 pub(super) const MAX_BODY_BYTES: usize = 1024 * 1024;
 
@@ -230,6 +239,68 @@
     Ok(())
 }
 
+/// Time between two questions to a host that gave no sign of life, in milliseconds.
+const ASK_SUSPECTS_MS: u64 = 500;
+
+/// Asks hosts that gave no sign of life again and again, until they do.
+pub(super) async fn ask_suspects(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(ASK_SUSPECTS_MS)).await;
+        let suspects = gateway.hosts.borrow().suspects();
+        for (name, address) in suspects {
+            let gateway = gateway.clone();
+            tokio::task::spawn_local(async move {
+                let answer = call(&gateway, address, PING_PATH, &(), PING_MS).await;
+                let now = gateway.now();
+                if answer.is_ok() && gateway.hosts.borrow_mut().suspect(now, &name, false) {
+                    gateway.log.write(&Event::Dependency {
+                        name: &name,
+                        up: true,
+                        why: "answered",
+                    });
+                }
+            });
+        }
+    }
+}
+
+/// A read of the store, or a heartbeat, that a host makes for one which the store refuses.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum Relay {
+    /// Read the newest values of a topic.
+    Newest { topic: Topic, after: Option<Name> },
+    /// Read records from an offset on.
+    Tail {
+        topic: Topic,
+        from: u64,
+        wait_ms: u64,
+    },
+    /// Write a heartbeat.
+    Beat(Heartbeat),
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) enum Relayed {
+    /// The store's answer.
+    Answer(Vec<u8>),
+    /// The records aren't kept any more.
+    Gone,
+    /// The store gave no answer here either.
+    Failed,
+}
+
+/// Has a host call the store.
+pub(super) async fn relay(
+    gateway: &Gateway,
+    address: SocketAddr,
+    relay: &Relay,
+    limit_ms: u64,
+) -> Result<Relayed, Error> {
+    let body = call(gateway, address, RELAY_PATH, relay, limit_ms).await?;
+    postcard::from_bytes(&body).map_err(|error| Error::Malformed(error.to_string()))
+}
+
 /// Asks a host to run pieces, and goes on waiting while it shows that it lives.
 pub(super) async fn run_pieces(
     gateway: &Gateway,
--- a/src/shell/gateway/stages.rs
+++ b/src/shell/gateway/stages.rs
@@ -1,15 +1,6 @@
 //! Runs pieces of stages: on this host, or on the one that gathers the calls of a service.
 
-use std::{
-    cell::{
-        Cell,
-        RefCell, //
-    },
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream::{
@@ -64,9 +55,6 @@
 /// Times that a piece is tried.
 const MAX_TRIES: u32 = 3;
 
-/// Time for which a host isn't asked again after it failed to answer, in milliseconds.
-const AVOID_HOST_MS: u64 = 2_000;
-
 /// Time for which results are gathered before their server is told that they aren't needed, in
 /// milliseconds.
 const FREE_MS: u64 = 10;
@@ -96,7 +84,6 @@
     service: Name,
     queue: RefCell<Queue>,
     waiters: RefCell<HashMap<Ticket, (Waiter, u32)>>,
-    avoided_owner: Cell<Option<Instant>>,
     told: RefCell<Option<(Instant, peers::Progress)>>,
 }
 
@@ -122,7 +109,6 @@
             service: service.clone(),
             queue: RefCell::default(),
             waiters: RefCell::default(),
-            avoided_owner: Cell::default(),
             told: RefCell::default(),
         })
     };
@@ -197,13 +183,14 @@
     match ask_owner(gateway, address, service, &pieces, false).await {
         Ok(ran) => (owner, ran),
         Err(error) => {
-            let until = gateway.now().after_ms(AVOID_HOST_MS);
-            gatherer(gateway, service).avoided_owner.set(Some(until));
-            gateway.log.write(&Event::Dependency {
-                name: &owner,
-                up: false,
-                why: &error.to_string(),
-            });
+            let now = gateway.now();
+            if gateway.hosts.borrow_mut().suspect(now, &owner, true) {
+                gateway.log.write(&Event::Dependency {
+                    name: &owner,
+                    up: false,
+                    why: &error.to_string(),
+                });
+            }
             (own, run_as_owner(gateway, service, pieces, true).await)
         }
     }
@@ -313,14 +300,9 @@
 
 /// Returns the host that gathers calls of a service in a region.
 fn owner(gateway: &Gateway, service: &Name, region: &Name) -> Option<(Name, SocketAddr)> {
-    let now = gateway.now();
-    let avoided = gatherer(gateway, service).avoided_owner.get();
-    if *region == gateway.own.region && avoided.is_some_and(|until| now < until) {
-        return None;
-    }
     let hosts = gateway.hosts.borrow();
     let near = hosts
-        .live(now)
+        .reachable(gateway.now())
         .filter(|host| host.beat.serving && host.beat.region == *region);
     let owner = near.max_by_key(|host| balance::hash(&[&host.beat.host, service]))?;
     Some((owner.beat.host.clone(), owner.beat.peers))
@@ -479,6 +461,10 @@
         outcome,
         ms: now.since_ms(start),
     });
+    if end.without_room() > 0 {
+        let mut queue = gatherer.queue.borrow_mut();
+        queue.no_room(now, &stages, &call.server);
+    }
     let results = match end {
         End::Results(results) => results,
         End::NotRun(_) | End::Lost(_) => vec![Err(Failure::Failed); call.pieces.len()],
--- a/src/shell/gateway/store.rs
+++ b/src/shell/gateway/store.rs
@@ -23,7 +23,12 @@
 use super::{
     Gateway,
     log::Event,
-    upstream::Reuse, //
+    peers::{
+        self,
+        Relay,
+        Relayed, //
+    },
+    upstream::Reuse,
 };
 use crate::{
     core::gateway::{
@@ -69,6 +74,15 @@
 /// have lapsed, and are back about two seconds after the store.
 const SHAKY_MS: u64 = 3_000;
 
+/// Hosts that are asked to call the store where it gives no answer here.
+const MAX_RELAYS: usize = 2;
+
+/// Reads after the start that follow each other fast, while hosts find each other.
+const FIRST_READS: u32 = 8;
+
+/// Pause between those reads, in milliseconds.
+const FIRST_PAUSE_MS: u64 = 150;
+
 /// Name of the store's connections in the pool.
 const PEER: &str = "store";
 
@@ -79,11 +93,13 @@
 #[derive(Default)]
 pub(super) struct State {
     failed: Cell<Option<Instant>>,
-    is_down: Cell<bool>,
+    // Topics whose last call failed.
+    down: RefCell<BTreeSet<Topic>>,
     /// Whether the servers were read once.
     pub(super) has_servers: Cell<bool>,
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
+    turn: Cell<usize>,
     bad: RefCell<BTreeSet<Name>>,
 }
 
@@ -110,7 +126,74 @@
     tokio::task::spawn_local(beat(gateway.clone()));
 }
 
-async fn call(gateway: &Gateway, call: Call, limit_ms: u64) -> Result<Bytes, Error> {
+/// Calls the store, and has another host call it where it gives no answer here: it may refuse this
+/// host alone.
+async fn call(gateway: &Gateway, relay: Relay, limit_ms: u64) -> Result<Bytes, Error> {
+    let error = match call_directly(gateway, &relay, limit_ms).await {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
+    };
+    if matches!(error, Error::Status(GONE)) {
+        return Err(error);
+    }
+    for address in relays(gateway) {
+        match peers::relay(gateway, address, &relay, limit_ms).await {
+            Ok(Relayed::Answer(body)) => return Ok(body.into()),
+            Ok(Relayed::Gone) => return Err(Error::Status(GONE)),
+            // The first failure is told: it is this host's own.
+            Ok(Relayed::Failed) | Err(_) => {}
+        }
+    }
+    Err(error)
+}
+
+/// Returns hosts that may reach the store, others at each turn.
+fn relays(gateway: &Gateway) -> Vec<SocketAddr> {
+    let hosts = gateway.hosts.borrow();
+    let now = gateway.now();
+    let others = hosts
+        .reachable(now)
+        .filter(|host| host.beat.host != gateway.own.host);
+    let mut others: Vec<SocketAddr> = others.map(|host| host.beat.peers).collect();
+    if !others.is_empty() {
+        let turn = gateway.store.turn.get();
+        gateway.store.turn.set(turn.wrapping_add(1));
+        let middle = turn % others.len();
+        others.rotate_left(middle);
+    }
+    others.truncate(MAX_RELAYS);
+    others
+}
+
+/// Calls the store for another host.
+pub(super) async fn relay(gateway: &Gateway, relay: Relay) -> Relayed {
+    let limit_ms = match &relay {
+        Relay::Newest { .. } | Relay::Beat(_) => CALL_MS,
+        Relay::Tail { wait_ms, .. } => (*wait_ms).min(WAIT_MS) + CALL_MS,
+    };
+    match call_directly(gateway, &relay, limit_ms).await {
+        Ok(body) => Relayed::Answer(body.to_vec()),
+        Err(Error::Status(GONE)) => Relayed::Gone,
+        Err(_) => Relayed::Failed,
+    }
+}
+
+async fn call_directly(gateway: &Gateway, relay: &Relay, limit_ms: u64) -> Result<Bytes, Error> {
+    let adapter = &gateway.adapter;
+    let call = match relay {
+        Relay::Newest { topic, after } => adapter.newest(*topic, after.as_deref()),
+        Relay::Tail {
+            topic,
+            from,
+            wait_ms,
+        } => adapter.tail(*topic, *from, (*wait_ms).min(WAIT_MS)),
+        Relay::Beat(beat) => {
+            let value = postcard::to_allocvec(beat);
+            let value = value.map_err(|error| Error::Body(error.to_string()))?;
+            adapter.put(Topic::Hosts, &beat.host, &value)
+        }
+    };
+
     let address = gateway.options.borrow().store;
     let limit = Duration::from_millis(limit_ms);
     let exchange = exchange(gateway, address, call);
@@ -150,6 +233,7 @@
 async fn follow(gateway: Rc<Gateway>, topic: Topic) {
     let mut from: Option<u64> = None;
     let mut failures: u64 = 0;
+    let mut reads: u32 = 0;
     loop {
         let step = match from {
             None => load(&gateway, topic).await,
@@ -160,7 +244,9 @@
             Ok(next) => {
                 failures = 0;
                 from = Some(next);
-                tokio::time::sleep(Duration::from_millis(pause_ms(topic))).await;
+                reads += 1;
+                let pause_ms = pause_ms(topic, reads);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(error) => {
                 if matches!(error, Error::Status(GONE) | Error::Malformed(_)) {
@@ -175,9 +261,10 @@
 }
 
 /// Returns the pause between two reads of a topic.
-fn pause_ms(topic: Topic) -> u64 {
+fn pause_ms(topic: Topic, reads: u32) -> u64 {
     match topic {
         Topic::Operator => 0,
+        Topic::Hosts if reads <= FIRST_READS => FIRST_PAUSE_MS,
         Topic::Servers => PAUSE_MS,
         Topic::Hosts => HEARTBEAT_MS,
     }
@@ -197,19 +284,24 @@
         Some(Error::Status(GONE)) => {}
         Some(error) => {
             state.failed.set(Some(now));
-            if !state.is_down.replace(true) {
+            if topic == Topic::Hosts {
+                gateway.hosts.borrow_mut().store_lost(now);
+            }
+            if state.down.borrow_mut().insert(topic) {
                 gateway.log.write(&Event::Dependency {
-                    name: PEER,
+                    name: topic_name(topic),
                     up: false,
                     why: &error.to_string(),
                 });
             }
         }
         None => {
-            if state.is_down.replace(false) {
-                gateway.hosts.borrow_mut().store_returned(now);
+            if state.down.borrow_mut().remove(&topic) {
+                if topic == Topic::Hosts {
+                    gateway.hosts.borrow_mut().store_returned(now);
+                }
                 gateway.log.write(&Event::Dependency {
-                    name: PEER,
+                    name: topic_name(topic),
                     up: true,
                     why: "answered",
                 });
@@ -218,12 +310,24 @@
     }
 }
 
+fn topic_name(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Operator => "store: operators",
+        Topic::Servers => "store: servers",
+        Topic::Hosts => "store: hosts",
+    }
+}
+
 async fn load(gateway: &Gateway, topic: Topic) -> Result<u64, Error> {
     let mut records = Vec::new();
     let mut after: Option<Name> = None;
     let mut from = None;
     loop {
-        let ask = gateway.adapter.newest(topic, after.as_deref());
+        let after_key = after.clone();
+        let ask = Relay::Newest {
+            topic,
+            after: after_key,
+        };
         let body = call(gateway, ask, CALL_MS).await?;
         let page = gateway.adapter.newest_page(&body)?;
         // What is added while the pages are read is read again from the first page's end.
@@ -268,7 +372,11 @@
 }
 
 async fn tail(gateway: &Gateway, topic: Topic, from: u64) -> Result<u64, Error> {
-    let ask = gateway.adapter.tail(topic, from, WAIT_MS);
+    let ask = Relay::Tail {
+        topic,
+        from,
+        wait_ms: WAIT_MS,
+    };
     let body = call(gateway, ask, WAIT_MS + CALL_MS).await?;
     let tail = gateway.adapter.tail_records(from, &body)?;
     apply(gateway, topic, tail.records, false);
@@ -386,10 +494,7 @@
 }
 
 async fn say(gateway: &Gateway, beat: &Heartbeat) -> Result<(), Error> {
-    let value = postcard::to_allocvec(beat).map_err(|error| Error::Body(error.to_string()))?;
-    let put = gateway.adapter.put(Topic::Hosts, &beat.host, &value);
-    let result = call(gateway, put, CALL_MS).await;
-    note(gateway, Topic::Hosts, result.as_ref().err());
+    let result = call(gateway, Relay::Beat(beat.clone()), CALL_MS).await;
     result.map(|_| ())
 }
 
@@ -399,8 +504,14 @@
         // A host knows itself, whatever the store says.
         let now = gateway.now();
         gateway.hosts.borrow_mut().heard(now, beat.clone(), false);
-        // The next heartbeat is the retry, and `say` noted the failure.
-        let _ = say(&gateway, &beat).await;
+        if let Err(error) = say(&gateway, &beat).await {
+            // The next heartbeat is the retry.
+            gateway.log.write(&Event::Dependency {
+                name: "heartbeat",
+                up: false,
+                why: &error.to_string(),
+            });
+        }
         tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
     }
 }
