--- /dev/null
+++ b/tests/core/gateway/mod.rs
@@ -0,0 +1,73 @@
+//! Tests of the gateway's decisions.
+
+mod answer;
+mod balance;
+mod batch;
+mod budget;
+mod cache;
+mod config;
+mod hosts;
+mod plan;
+mod rate;
+mod servers;
+mod spill;
+mod stream;
+
+use teaselchute::{
+    core::gateway::{
+        batch::Piece,
+        config::Stages,
+        plan::Input,
+        servers::Entry, //
+    },
+    names::Name,
+    time::Instant,
+};
+
+pub fn at(ms: u64) -> Instant {
+    Instant::from_ms(ms)
+}
+
+pub fn entry(id: &str, service: &str, data_centre: &str) -> Entry {
+    let port = 1_000 + id.bytes().map(u16::from).sum::<u16>();
+    Entry {
+        id: id.into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        data_centre: data_centre.into(),
+        slots: 64,
+        leaving: false,
+        cold_ms: 0,
+        born: Some(1),
+    }
+}
+
+/// Calls take 200 ms and 10 ms a piece, 10 pieces at most, with room for 100 results of 10 bytes.
+pub const STAGES: Stages = Stages {
+    slots: 1,
+    waiting: 2,
+    batch: 10,
+    call_ms: 200.0,
+    piece_ms: 10.0,
+    room_bytes: 1_087,
+    keep_ms: 4_000,
+};
+
+pub fn piece(request: &str, now_ms: u64) -> Piece {
+    Piece {
+        request: request.into(),
+        stage: 0,
+        index: 0,
+        input: Input::Key("key".into()),
+        result_bytes: 10,
+        input_bytes: 0,
+        wanted: at(now_ms + 1_000),
+        deadline: at(now_ms + 6_000),
+        priority: 0,
+        after_ms: 100,
+    }
+}
+
+pub fn names(names: &[&str]) -> Vec<Name> {
+    names.iter().map(|&name| name.into()).collect()
+}
--- /dev/null
+++ b/tests/core/gateway/plan.rs
@@ -0,0 +1,78 @@
+use teaselchute::core::gateway::{
+    config::Stage,
+    plan::{
+        Error,
+        Input,
+        Plan,
+        Times, //
+    },
+};
+
+use super::names;
+
+fn stages(after: &[&[usize]]) -> Vec<Stage> {
+    let stage = |after: &&[usize]| Stage {
+        service: "s".into(),
+        after: after.to_vec(),
+        result_bytes: 10,
+    };
+    after.iter().map(stage).collect()
+}
+
+#[test]
+fn start_in_order_of_needs() {
+    // One stage alone, and a chain of two.
+    let stages = stages(&[&[], &[], &[1]]);
+    let mut plan = Plan::new(&stages, &[1, 1, 2], "key".into()).expect("fits");
+    let key = Input::Key("key".into());
+    assert_eq!(plan.start(), [(0, 1, key.clone()), (1, 1, key)]);
+    assert!(plan.start().is_empty());
+    plan.finish(1, names(&["b"]));
+    assert_eq!(plan.start(), [(2, 2, Input::Results(names(&["b"])))]);
+    assert!(!plan.is_used(1), "the next stage still reads it");
+    plan.finish(2, names(&["c", "d"]));
+    assert!(plan.is_used(1));
+    assert!(!plan.is_done());
+    plan.finish(0, names(&["a"]));
+    assert!(plan.is_done());
+    assert_eq!(plan.inputs(), names(&["a", "c", "d"]));
+}
+
+#[test]
+fn start_without_left_out_stages() {
+    let stages = stages(&[&[], &[0]]);
+    let mut plan = Plan::new(&stages, &[0, 3], "key".into()).expect("fits");
+    assert_eq!(plan.start(), [(1, 3, Input::Key("key".into()))]);
+}
+
+#[test]
+fn new_counts_do_not_fit() {
+    let stages = stages(&[&[], &[0]]);
+    let error = Plan::new(&stages, &[1], "key".into()).err();
+    assert_eq!(
+        error,
+        Some(Error::Counts {
+            counts: 1,
+            stages: 2
+        })
+    );
+    let error = Plan::new(&stages, &[usize::MAX, 2], "key".into()).err();
+    assert!(matches!(error, Some(Error::TooMany { .. })));
+}
+
+#[test]
+fn new_stages_in_a_circle() {
+    let stages = stages(&[&[1], &[0]]);
+    let error = Plan::new(&stages, &[1, 1], "key".into()).err();
+    assert_eq!(error, Some(Error::Circle));
+}
+
+#[test]
+fn mean_follows_measurements() {
+    let mut times = Times::default();
+    assert_eq!(times.mean_ms("s", 300), 300);
+    for _ in 0..60 {
+        times.took(&"s".into(), 700);
+    }
+    assert_eq!(times.mean_ms("s", 300), 700);
+}
--- /dev/null
+++ b/tests/core/gateway/servers.rs
@@ -0,0 +1,76 @@
+use teaselchute::core::gateway::servers::{
+    Change,
+    Entry,
+    Table, //
+};
+
+use super::{
+    at,
+    entry, //
+};
+
+fn usable(table: &Table) -> Vec<String> {
+    let servers = table.usable("llm");
+    servers.map(|server| server.entry.id.to_string()).collect()
+}
+
+#[test]
+fn update_leaving_server() {
+    let mut table = Table::default();
+    let joined = table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
+    assert!(matches!(joined, Some(Change::Joined(_))));
+    let leaving = Entry {
+        leaving: true,
+        ..entry("s", "llm", "a")
+    };
+    let left = table.update(at(1), &"s".into(), Some(leaving), false);
+    assert_eq!(left, Some(Change::Left("s".into())));
+    assert!(usable(&table).is_empty());
+    assert!(table.get("s").is_some(), "its requests go on");
+}
+
+#[test]
+fn update_restart_under_the_same_id() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
+    let again = Entry {
+        born: Some(2),
+        ..entry("s", "llm", "a")
+    };
+    let change = table.update(at(1), &"s".into(), Some(again), false);
+    assert!(matches!(change, Some(Change::Restarted(_))));
+}
+
+#[test]
+fn update_entry_that_lapsed_with_the_register() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
+    assert_eq!(table.update(at(100), &"s".into(), None, true), None);
+    assert_eq!(usable(&table), ["s"], "it may be back");
+    assert!(table.expire(at(2_099)).is_empty());
+    table.update(at(2_000), &"s".into(), Some(entry("s", "llm", "a")), true);
+    assert!(table.expire(at(9_000)).is_empty());
+    table.update(at(9_000), &"s".into(), None, true);
+    assert_eq!(table.expire(at(11_000)), ["s".into()]);
+}
+
+#[test]
+fn update_entry_that_is_gone() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
+    let change = table.update(at(1), &"s".into(), None, false);
+    assert_eq!(change, Some(Change::Left("s".into())));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn set_out_data_centre() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
+    table.update(at(0), &"t".into(), Some(entry("t", "llm", "b")), false);
+    assert!(table.set_out(&"a".into(), true));
+    assert!(!table.set_out(&"a".into(), true));
+    assert_eq!(usable(&table), ["t"]);
+    table.set_out(&"a".into(), false);
+    assert_eq!(usable(&table), ["s", "t"]);
+}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -6,6 +6,7 @@
 mod address;
 mod document;
 mod edits;
+mod gateway;
 mod membership;
 mod node;
 mod options;
