Ask hosts again where none can serve for a moment

Cause: operators::subcommands_against_daemons failed once beside a busy compiler: the first try ended with 1 and printed nothing. By reasoning: the command line asked each host once, and a host whose news is old after a pause answers 503, which ended the command with 1 and a message on standard error only. The test now shows that message. After: the commands ask for up to 6 s. hosts_asked_again_while_none_can_serve fails without it.

--- a/src/bin/teaselchute/client.rs
+++ b/src/bin/teaselchute/client.rs
@@ -1,6 +1,12 @@
 //! Asking entry hosts over HTTP.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
 
 use anyhow::{
     Context,
@@ -15,6 +21,7 @@
     http::Method,
     time::{
         Millis,
+        sleep,
         timeout, //
     },
 };
@@ -25,6 +32,16 @@
 /// Time in which a host has to answer. It waits for a verdict itself.
 const TIMEOUT: Millis = Millis(15_000);
 
+/// Status of a host that can't serve now.
+const UNAVAILABLE: u16 = 503;
+
+/// Time for which hosts that can't serve are asked again: longer than the age of news that hosts
+/// bear, so that one pause of theirs is outlasted.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// Pause before hosts are asked again.
+const PAUSE: Duration = Duration::from_millis(200);
+
 /// Largest answer, in bytes.
 const ANSWER_BYTES: usize = 64 << 20;
 
@@ -66,7 +83,8 @@
         })
     }
 
-    /// Asks the hosts in their order until one answers.
+    /// Asks the hosts in their order until one answers, again and again for a while where none can
+    /// serve: a host whose news is old for a moment is right again a moment later.
     ///
     /// A change is sent again with the same id, under which it lands once at most.
     pub async fn ask(
@@ -74,12 +92,32 @@
         method: Method,
         path: &str,
         body: Option<&Value>,
+    ) -> anyhow::Result<Answer> {
+        let start = Instant::now();
+        loop {
+            let answer = self.ask_all(method.clone(), path, body).await;
+            let is_unavailable = match &answer {
+                Ok(answer) => answer.status == UNAVAILABLE,
+                Err(_) => true,
+            };
+            if !is_unavailable || start.elapsed() >= PATIENCE {
+                return answer;
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn ask_all(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
     ) -> anyhow::Result<Answer> {
         let mut last = None;
         for &host in &self.hosts {
             match self.ask_host(host, method.clone(), path, body).await {
                 // A host that starts or leaves sends operators elsewhere.
-                Ok(answer) if answer.status == 503 => last = Some(Ok(answer)),
+                Ok(answer) if answer.status == UNAVAILABLE => last = Some(Ok(answer)),
                 Ok(answer) => return Ok(answer),
                 Err(error) => last = Some(Err(error)),
             }
--- a/tests/integration/operators.rs
+++ b/tests/integration/operators.rs
@@ -1,6 +1,12 @@
 //! The operators' command line against running daemons.
 
-use std::process::Command;
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    process::Command, //
+};
 
 use serde_json::Value;
 use teaselchute::options::config::Limits;
@@ -12,6 +18,7 @@
             Cluster,
             OPERATOR, //
         },
+        free_port,
         server::Pace,
     },
 };
@@ -33,7 +40,9 @@
         ntex::time::sleep(std::time::Duration::from_millis(10)).await;
     }
     let output = running.join().expect("the program ends");
-    let printed = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    // Without an answer, what the program says of it tells why.
+    let printed = serde_json::from_slice(&output.stdout)
+        .unwrap_or_else(|_| Value::from(String::from_utf8_lossy(&output.stderr).to_string()));
     (output.status.code(), printed)
 }
 
@@ -105,3 +114,32 @@
         assert_eq!(code, Some(1));
     });
 }
+
+/// Answers every request with a status, and from the third on with an empty list.
+fn host_that_is_stale_at_first() -> String {
+    let (listener, address) = free_port();
+    std::thread::spawn(move || {
+        for (count, stream) in listener.incoming().flatten().enumerate() {
+            let status = if count < 2 {
+                "503 Unavailable"
+            } else {
+                "200 OK"
+            };
+            let mut head = [0; 4096];
+            // The head of a request without a body comes in one piece.
+            let _ = (&stream).read(&mut head);
+            let answer =
+                format!("HTTP/1.1 {status}\r\nContent-Length: 2\r\nConnection: close\r\n\r\n[]");
+            let _ = (&stream).write_all(answer.as_bytes());
+        }
+    });
+    address.to_string()
+}
+
+#[test]
+fn hosts_asked_again_while_none_can_serve() {
+    run(async {
+        let (code, hosts) = teaselchute(&host_that_is_stale_at_first(), &["hosts"]).await;
+        assert_eq!((code, hosts), (Some(0), Value::Array(Vec::new())));
+    });
+}
