--- a/src/shell/gateway/forward.rs
+++ b/src/shell/gateway/forward.rs
@@ -107,6 +107,10 @@
 /// When to come back where nothing better is known, in seconds.
 const RETRY_AFTER_S: f64 = 0.5;
 
+/// Part of the time left after which a caller comes back that was refused for a burst, as a divisor.
+/// Callers wait for a third of what they have left at most.
+const WAIT_DIVISOR: f64 = 3.2;
+
 /// Size of results from which a request runs where they lie, in bytes. The request's own bytes, which
 /// then cross regions, cost about as much as a hundred times as many bytes of results.
 const HEAVY_BYTES: u64 = 2_000_000;
@@ -620,9 +624,7 @@
             let Some((stage, result)) = running.next().await else {
                 break;
             };
-            let made = result.map_err(|failure| {
-                Refusal::not_run(format!("stage {stage}: {}", failure_text(failure)))
-            })?;
+            let made = result.map_err(|failure| self.refuse_stage(stage, failure))?;
             plan.finish(stage, made.results.clone());
             self.results.made.borrow_mut().push((stage, made));
             self.results.free_where(|stage| plan.is_used(stage));
@@ -633,6 +635,19 @@
         Ok(())
     }
 
+    /// Refuses a request whose stages can't be run. A burst lasts for seconds, so the caller is asked
+    /// to come back as late as leaves time for the request.
+    fn refuse_stage(&self, stage: usize, failure: Failure) -> Refusal {
+        let left_ms = self.deadline.since_ms(self.gateway.now());
+        let mut refusal =
+            Refusal::not_run(format!("stage {stage}: {}", failure_text(failure)));
+        if failure == Failure::Late {
+            let seconds = left_ms as f64 / 1_000.0 / WAIT_DIVISOR;
+            refusal.retry_after_s = Some(seconds.max(RETRY_AFTER_S));
+        }
+        refusal
+    }
+
     /// Runs the request in the region that holds most of its results, where they are large.
     fn follow_results(&self) {
         let mut bytes: std::collections::BTreeMap<Name, u64> = std::collections::BTreeMap::new();
