--- /dev/null
+++ b/src/shell/gateway/forward/reply.rs
@@ -0,0 +1,162 @@
+//! What callers are answered: bodies, refusals, headers.
+
+use std::{
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue,
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    combinators::UnsyncBoxBody, //
+};
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+
+use crate::shell::gateway::{
+    Gateway,
+    log::Event, //
+};
+use crate::time::Instant;
+
+/// Chunks of a stream that wait for a slow caller.
+pub(super) const WAITING_CHUNKS: usize = 16;
+
+/// When to come back where nothing better is known, in seconds.
+pub(super) const RETRY_AFTER_S: f64 = 0.5;
+
+/// Headers that concern one connection alone.
+pub(super) const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// An answer's body.
+pub(in crate::shell::gateway) type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// A stream ended before its end. The caller's connection is closed, so that it can't look whole.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the stream broke off")]
+pub(in crate::shell::gateway) struct Broken;
+
+/// A body whose chunks come from a task.
+pub(super) struct Pipe(pub(super) mpsc::Receiver<Result<Bytes, Broken>>);
+
+impl hyper::body::Body for Pipe {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let chunk = self.0.poll_recv(cx);
+        chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+    }
+}
+
+/// Wraps bytes as a body.
+pub(in crate::shell::gateway) fn whole(bytes: impl Into<Bytes>) -> Body {
+    let never = |error: std::convert::Infallible| match error {};
+    UnsyncBoxBody::new(Full::new(bytes.into()).map_err(never))
+}
+
+/// Why this host answers a request itself.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Refusal {
+    pub(super) status: StatusCode,
+    pub(super) reason: String,
+    pub(super) retry_after_s: Option<f64>,
+}
+
+impl Refusal {
+    pub(super) fn new(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            status,
+            reason: reason.into(),
+            retry_after_s: None,
+        }
+    }
+
+    /// The request has not run and never will.
+    pub(super) fn not_run(reason: impl Into<String>) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: reason.into(),
+            retry_after_s: Some(RETRY_AFTER_S),
+        }
+    }
+
+    /// The request failed and may have run.
+    pub(super) fn may_have_run(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self::new(status, reason)
+    }
+}
+
+pub(super) fn refuse(
+    gateway: &Gateway,
+    id: &str,
+    arrived: Instant,
+    refusal: &Refusal,
+) -> Response<Body> {
+    let status = refusal.status;
+    gateway
+        .metrics
+        .count_request(status.as_u16(), &refusal.reason);
+    gateway.log.write(&Event::Refused {
+        request: id,
+        status: status.as_u16(),
+        reason: &refusal.reason,
+        version: gateway.config().map_or(0, |config| config.version),
+        ms: gateway.now().since_ms(arrived),
+    });
+    let mut response = Response::new(whole(refusal.reason.clone()));
+    *response.status_mut() = status;
+    let headers = gateway.adapter.headers();
+    if let Ok(id) = HeaderValue::from_str(id) {
+        response.headers_mut().insert(&headers.request, id);
+    }
+    if let Some(seconds) = refusal.retry_after_s
+        && let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}"))
+    {
+        response.headers_mut().insert(&headers.retry_after, value);
+    }
+    response
+}
+
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+pub(super) fn clean(headers: &mut HeaderMap) {
+    let nominated = text(headers, &header::CONNECTION).to_ascii_lowercase();
+    for name in nominated.split(',') {
+        if let Ok(name) = HeaderName::from_bytes(name.trim().as_bytes()) {
+            headers.remove(name);
+        }
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+    // The length is written anew from the body.
+    headers.remove(header::CONTENT_LENGTH);
+}
