--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -56,6 +56,8 @@
     pub cold_per_s: f64,
     /// Hosts that share the server.
     pub hosts: usize,
+    /// Requests of this host that a server takes at once, by the connections that it takes from all.
+    pub most_running: u32,
     /// Hosts in this data centre, which mostly use the same servers.
     pub near_hosts: usize,
 }
@@ -133,6 +135,9 @@
                 continue;
             }
             let load = self.loads.get(id).copied().unwrap_or_default();
+            if load.running >= ask.most_running {
+                continue;
+            }
             let slots = u64::from(server.entry.slots.max(1));
             let near_hosts = ask.near_hosts.max(1) as u64;
             let (tokens, source) = self.tokens_to_read(now, table, id, ask.prompt);
--- a/src/core/gateway/config.rs
+++ b/src/core/gateway/config.rs
@@ -151,6 +151,18 @@
     pub role: Role,
 }
 
+/// Part of a server's connections that is used, in percent. Hosts that have just come, and
+/// connections that are being closed, need the rest.
+const CONNECTION_PERCENT: usize = 85;
+
+impl Service {
+    /// Returns the connections that one of `hosts` hosts may have open to a server.
+    pub fn connections_for(&self, hosts: usize) -> usize {
+        let used = self.max_connections as usize * CONNECTION_PERCENT / 100;
+        (used / hosts.max(1)).max(1)
+    }
+}
+
 /// An organisation and what binds it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Organisation {
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -123,6 +123,15 @@
 }
 
 impl Flight {
+    /// Returns the connections that this host may have open to a server of the request's service.
+    fn connections(&self) -> usize {
+        let service = self.config.services.get(&self.service);
+        let hosts = self.gateway.sharers();
+        service.map_or(upstream::ANY_NUMBER, |service| {
+            service.connections_for(hosts)
+        })
+    }
+
     /// Takes one more attempt, if the route and the budget of retries have one left.
     pub(super) fn may_retry(&self, end: End) -> bool {
         let now = self.gateway.now();
@@ -158,6 +167,7 @@
                 tried: &tried,
                 cold_per_s: cold_per_s * factor,
                 hosts: self.gateway.sharers(),
+                most_running: u32::try_from(self.connections()).unwrap_or(u32::MAX),
                 near_hosts: self.gateway.near_hosts(),
             };
             let placed = self.gateway.balancer.borrow_mut().place(
@@ -263,7 +273,7 @@
         let sent = self
             .gateway
             .pool
-            .send(&server, entry.address, request, reuse)
+            .send(&server, entry.address, request, reuse, self.connections())
             .await;
         let (response, lease) = match sent {
             Ok(sent) => sent,
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -23,6 +23,7 @@
     log::Event,
     upstream::{
         self,
+        ANY_NUMBER,
         Reuse, //
     },
 };
@@ -352,7 +353,7 @@
     let exchange = async {
         let (response, lease) = gateway
             .pool
-            .send(&peer, address, request, Reuse::Any)
+            .send(&peer, address, request, Reuse::Any, ANY_NUMBER)
             .await?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
--- a/src/shell/gateway/stages.rs
+++ b/src/shell/gateway/stages.rs
@@ -23,7 +23,10 @@
         self,
         Reply, //
     },
-    upstream::Reuse,
+    upstream::{
+        ANY_NUMBER,
+        Reuse, //
+    },
 };
 use crate::{
     core::gateway::{
@@ -533,7 +536,7 @@
     };
     let sent = gateway
         .pool
-        .send(&call.server, address, request, Reuse::Any)
+        .send(&call.server, address, request, Reuse::Any, ANY_NUMBER)
         .await;
     let (response, lease) = match sent {
         Ok(sent) => sent,
@@ -733,7 +736,7 @@
     let exchange = async {
         let sent = gateway
             .pool
-            .send(&server, holder, request, Reuse::Any)
+            .send(&server, holder, request, Reuse::Any, ANY_NUMBER)
             .await;
         let Ok((response, lease)) = sent else { return };
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
--- a/src/shell/gateway/store.rs
+++ b/src/shell/gateway/store.rs
@@ -28,7 +28,10 @@
         Relay,
         Relayed, //
     },
-    upstream::Reuse,
+    upstream::{
+        ANY_NUMBER,
+        Reuse, //
+    },
 };
 use crate::{
     core::gateway::{
@@ -215,7 +218,7 @@
         .map_err(|error| Error::Body(error.to_string()))?;
     let (response, lease) = gateway
         .pool
-        .send(&PEER.into(), address, request, Reuse::Any)
+        .send(&PEER.into(), address, request, Reuse::Any, ANY_NUMBER)
         .await?;
     let status = response.status().as_u16();
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -42,6 +42,9 @@
 /// Time by which a connection is given up before its peer would close it, in milliseconds.
 const IDLE_MARGIN_MS: u64 = 800;
 
+/// No limit on connections to a peer: the store and other hosts have none of their own.
+pub const ANY_NUMBER: usize = usize::MAX;
+
 /// Idle connections kept for one peer.
 const MAX_IDLE: usize = 24;
 
@@ -96,9 +99,38 @@
     }
 }
 
+/// Counts a connection as open until it is dropped.
+struct Open {
+    pool: Rc<Pool>,
+    peer: Name,
+}
+
+impl Open {
+    fn new(pool: &Rc<Pool>, peer: &Name) -> Self {
+        *pool.open.borrow_mut().entry(peer.clone()).or_default() += 1;
+        Self {
+            pool: pool.clone(),
+            peer: peer.clone(),
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let mut open = self.pool.open.borrow_mut();
+        if let Some(count) = open.get_mut(&self.peer) {
+            *count -= 1;
+            if *count == 0 {
+                open.remove(&self.peer);
+            }
+        }
+    }
+}
+
 /// Open connections by peer.
 pub struct Pool {
     clock: Clock,
+    open: RefCell<HashMap<Name, usize>>,
     idle: RefCell<HashMap<Name, Vec<Idle>>>,
 }
 
@@ -144,6 +176,7 @@
     pub fn new(clock: Clock) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            open: RefCell::default(),
             idle: RefCell::default(),
         })
     }
@@ -207,10 +240,26 @@
         });
     }
 
+    /// Closes idle connections to a peer until one more stays within `most`.
+    fn make_room(&self, peer: &str, most: usize) {
+        let open = self.open.borrow().get(peer).copied().unwrap_or(0);
+        let surplus = (open + 1).saturating_sub(most);
+        if let Some(idle) = self.idle.borrow_mut().get_mut(peer) {
+            let surplus = surplus.min(idle.len());
+            for oldest in idle.drain(..surplus) {
+                oldest.task.abort();
+            }
+        }
+    }
+
     async fn open(
-        &self,
+        self: &Rc<Self>,
+        peer: &Name,
         address: SocketAddr,
+        most: usize,
     ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), Error> {
+        self.make_room(peer, most);
+        let open = Open::new(self, peer);
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
         let stream = net::connect(address, CONNECT_MS)
             .await
@@ -221,13 +270,15 @@
             .await
             .map_err(|error| not_sent(&error))?;
         let task = tokio::task::spawn_local(async move {
+            let _open = open;
             // How it ended is seen by whoever waits for an answer on it.
             let _ = connection.await;
         });
         Ok((sender, task.abort_handle()))
     }
 
-    /// Sends a request and returns the head of its answer.
+    /// Sends a request and returns the head of its answer. Idle connections to the peer are closed
+    /// where more than `most` would be open.
     ///
     /// # Errors
     ///
@@ -238,13 +289,14 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         reuse: Reuse,
+        most: usize,
     ) -> Result<(Response<Incoming>, Lease), Error> {
         loop {
             let kept = self.take(peer, reuse);
             let is_new = kept.is_none();
             let (mut sender, task) = match kept {
                 Some(kept) => kept,
-                None => self.open(address).await?,
+                None => self.open(peer, address, most).await?,
             };
             // Dropped on the way, as when the caller leaves, it closes the connection.
             let mut lease = Lease {
--- a/tests/core/gateway/balance.rs
+++ b/tests/core/gateway/balance.rs
@@ -41,6 +41,7 @@
         tried,
         cold_per_s: 0.0,
         hosts: 1,
+        most_running: 1_000,
         near_hosts: 1,
     }
 }
@@ -156,3 +157,18 @@
     let placed = balancer.place(at(0), &table, &ask(&[], &[]), &is_home, &|_| true);
     assert_eq!(placed.map(|placed| placed.server), Ok("far".into()));
 }
+
+#[test]
+fn place_keeps_to_the_connections_of_a_server() {
+    let table = table(&["s1"]);
+    let mut balancer = Balancer::default();
+    let ask = Ask {
+        most_running: 2,
+        ..ask(&[], &[])
+    };
+    let first = place(&mut balancer, at(0), &table, &ask).expect("free");
+    assert!(place(&mut balancer, at(0), &table, &ask).is_ok());
+    assert_eq!(place(&mut balancer, at(0), &table, &ask), Err(Error::Full));
+    balancer.ended(at(10), first, false);
+    assert!(place(&mut balancer, at(10), &table, &ask).is_ok());
+}
