--- a/src/core/gateway/plan.rs
+++ b/src/core/gateway/plan.rs
@@ -7,7 +7,10 @@
     Role,
     Stage, //
 };
-use crate::names::Name;
+use crate::{
+    names::Name,
+    time::Instant, //
+};
 
 /// Most pieces of one request, over all stages.
 const MAX_PIECES: usize = 512;
@@ -159,6 +162,12 @@
     }
 }
 
+/// Returns until when pieces of use can be run whose inputs were made just now and are kept for
+/// `keep_ms`. Once their inputs are gone they fail, so nobody should wait for them longer.
+pub fn latest(now: Instant, deadline: Instant, keep_ms: u64, after_ms: u64) -> Instant {
+    deadline.min(now.after_ms(keep_ms + after_ms))
+}
+
 /// Part of its time that a new measurement replaces in a mean, in percent.
 const NEW_PERCENT: u64 = 10;
 
--- a/src/shell/gateway/forward/prepare.rs
+++ b/src/shell/gateway/forward/prepare.rs
@@ -6,10 +6,10 @@
 };
 use http::StatusCode;
 
-use crate::shell::gateway::stages;
 use crate::{
     core::gateway::{
         batch::Piece,
+        config::Role,
         plan::{
             self,
             Plan, //
@@ -17,6 +17,7 @@
     },
     edges::gateway::Failure,
     names::Name,
+    shell::gateway::stages,
 };
 
 use super::{
@@ -130,6 +131,23 @@
             times.after_ms(&self.route.stages, stage, &self.config)
                 + times.mean_ms(&self.service, RUN_MS)
         };
+        let kept_ms = |&before: &usize| {
+            let service = self
+                .config
+                .services
+                .get(&self.route.stages[before].service)?;
+            match service.role {
+                Role::Stages(stages) => Some(stages.keep_ms),
+                Role::Plain | Role::Engine { .. } => None,
+            }
+        };
+        let keep_ms = self.route.stages[stage].after.iter().filter_map(kept_ms);
+        let deadline = match (input, keep_ms.min()) {
+            (plan::Input::Results(_), Some(keep_ms)) => {
+                plan::latest(self.gateway.now(), self.deadline, keep_ms, after_ms)
+            }
+            _ => self.deadline,
+        };
         let piece = |index| Piece {
             request: self.id.clone(),
             stage,
@@ -138,7 +156,7 @@
             result_bytes: self.route.stages[stage].result_bytes,
             input_bytes,
             wanted: self.arrived.after_ms(self.route.objective_ms),
-            deadline: self.deadline,
+            deadline,
             priority: self.priority(),
             after_ms,
         };
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -234,6 +234,8 @@
         let gap_ms = now.since_ms(last);
         if gap_ms > PAUSE_MS {
             gateway.log.write(&Event::Paused { ms: gap_ms });
+            // Their peers have given them up, or will when they carry the next request.
+            gateway.pool.clear();
         }
         last = now;
         let gone = gateway.servers.borrow_mut().expire(now);
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -225,6 +225,15 @@
         None
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        for (_, idle) in self.idle.borrow_mut().drain() {
+            for one in idle {
+                one.task.abort();
+            }
+        }
+    }
+
     /// Closes connections that were idle for long, and forgets peers without any.
     pub fn sweep(&self) {
         let now = self.clock.now();
--- a/tests/core/gateway/plan.rs
+++ b/tests/core/gateway/plan.rs
@@ -1,6 +1,7 @@
 use teaselchute::core::gateway::{
     config::Stage,
     plan::{
+        self,
         Error,
         Input,
         Plan,
@@ -8,7 +9,10 @@
     },
 };
 
-use super::names;
+use super::{
+    at,
+    names, //
+};
 
 fn stages(after: &[&[usize]]) -> Vec<Stage> {
     let stage = |after: &&[usize]| Stage {
@@ -85,3 +89,10 @@
     }
     assert_eq!(times.mean_ms("s", 300), 700);
 }
+
+#[test]
+fn latest_while_inputs_are_kept() {
+    // A piece of a request with six seconds left, whose inputs go in four.
+    assert_eq!(plan::latest(at(1_000), at(7_000), 4_000, 500), at(5_500));
+    assert_eq!(plan::latest(at(1_000), at(3_000), 4_000, 500), at(3_000));
+}
