--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -4,24 +4,19 @@
     KeyValue,
     metrics::{
         Counter,
-        Histogram,
-        MeterProvider, //
+        Histogram, //
     }, //
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{
-    Encoder,
-    Registry,
-    TextEncoder, //
-};
 
-use crate::shell::metrics::Error;
+use crate::shell::metrics::{
+    Error,
+    Exporter,
+    label, //
+};
 
 /// The instruments of one gateway.
 pub struct Metrics {
-    registry: Registry,
-    // Instruments stop when their provider is dropped.
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     /// Requests by status and reason.
     pub requests: Counter<u64>,
     /// Time to the first byte of an answer, in milliseconds, by route.
@@ -43,13 +38,8 @@
     ///
     /// [`Error`] where the exporter can't be registered.
     pub fn open() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_scope_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("teaselchute-gateway");
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter("teaselchute-gateway");
         let counter = |name| meter.u64_counter(name).build();
         let histogram = |name| meter.u64_histogram(name).build();
         Ok(Self {
@@ -59,34 +49,27 @@
             batch_pieces: histogram("gateway_batch_pieces"),
             attempts: counter("gateway_attempts"),
             store_calls: counter("gateway_store_calls"),
-            registry,
-            _provider: provider,
+            exporter,
         })
     }
 
     /// Returns the metrics as Prometheus text.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        // Writing to memory doesn't fail, and a broken family must not hide the others.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.exporter.text()
     }
 
     /// Counts a request.
     pub fn count_request(&self, status: u16, reason: &str) {
         let labels = [
             KeyValue::new("status", i64::from(status)),
-            KeyValue::new("reason", reason.to_string()),
+            label("reason", reason),
         ];
         self.requests.add(1, &labels);
     }
 
     /// Counts an attempt at a server.
     pub fn count_attempt(&self, service: &str, end: &str) {
-        let labels = [
-            KeyValue::new("service", service.to_string()),
-            KeyValue::new("end", end.to_string()),
-        ];
+        let labels = [label("service", service), label("end", end)];
         self.attempts.add(1, &labels);
     }
 }
--- a/src/shell/metrics.rs
+++ b/src/shell/metrics.rs
@@ -6,6 +6,7 @@
         Counter,
         Gauge,
         Histogram,
+        Meter,
         MeterProvider, //
     }, //
 };
@@ -21,11 +22,46 @@
 #[error("metrics: {0}")]
 pub struct Error(#[from] opentelemetry_sdk::error::OTelSdkError);
 
-/// The instruments of one daemon.
-pub struct Metrics {
+/// What reads instruments and shows them as text.
+pub struct Exporter {
     registry: Registry,
     // Instruments stop when their provider is dropped.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
+}
+
+impl Exporter {
+    /// Opens an exporter.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] where it can't be registered.
+    pub fn open() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Returns what makes instruments.
+    pub fn meter(&self, name: &'static str) -> Meter {
+        self.provider.meter(name)
+    }
+
+    /// Returns the metrics as Prometheus text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to memory doesn't fail, and a broken family must not hide the others.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+/// The instruments of one daemon.
+pub struct Metrics {
+    exporter: Exporter,
     /// Requests by outcome.
     pub requests: Counter<u64>,
     /// Time to the whole answer, in milliseconds, by pipeline or service.
@@ -55,13 +91,8 @@
     ///
     /// [`Error`] where the exporter can't be registered.
     pub fn open() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_scope_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("teaselchute");
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter("teaselchute");
         let counter = |name| meter.u64_counter(name).build();
         let gauge = |name| meter.u64_gauge(name).build();
         Ok(Self {
@@ -75,17 +106,13 @@
             platform_failures: counter("platform_failures"),
             open_exchanges: gauge("open_exchanges"),
             news_age_ms: gauge("news_age_ms"),
-            registry,
-            _provider: provider,
+            exporter,
         })
     }
 
     /// Returns the metrics as Prometheus text.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        // Writing to memory doesn't fail, and a broken family must not hide the others.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.exporter.text()
     }
 }
 
