Bound what the meter of cold servers and the list of silent hosts remember

Cause: the read-through found that requests to servers without a limit were remembered for ever, and that hosts which were removed for good were asked for signs of life for ever. sent_is_remembered_for_a_second_only fails without the change (10,000 against 1,000), and so does suspects_that_are_gone_are_forgotten.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -112,11 +112,17 @@
         }
     }
 
-    /// Returns the hosts that gave no sign of life, with their addresses for other hosts.
-    pub fn suspects(&self) -> Vec<(Name, SocketAddr)> {
-        let suspects = self.suspects.keys();
+    /// Returns the hosts that gave no sign of life, with their addresses for other hosts. Those whose
+    /// heartbeats ended are forgotten: they are gone, and are new when they come back.
+    pub fn suspects(&mut self, now: Instant) -> Vec<(Name, SocketAddr)> {
+        let live: BTreeMap<Name, SocketAddr> = self
+            .live(now)
+            .map(|host| (host.beat.host.clone(), host.beat.peers))
+            .collect();
+        self.suspects.retain(|name, _| live.contains_key(name));
+        let suspects = live.into_iter();
         suspects
-            .filter_map(|name| Some((name.clone(), self.hosts.get(name)?.beat.peers)))
+            .filter(|(name, _)| self.suspects.contains_key(name))
             .collect()
     }
 
--- a/src/core/gateway/rate.rs
+++ b/src/core/gateway/rate.rs
@@ -31,9 +31,7 @@
         let Some(sent) = self.sent.get_mut(server) else {
             return true;
         };
-        while sent.front().is_some_and(|&at| now.since_ms(at) >= SPAN_MS) {
-            sent.pop_front();
-        }
+        forget_old(now, sent);
         // A host always has one request a second, or the last of many hosts would serve nothing.
         let share = (per_s / hosts as f64).max(1.0);
         (sent.len() as f64) + 1.0 <= share
@@ -41,7 +39,14 @@
 
     /// Counts a request.
     pub fn sent(&mut self, now: Instant, server: &Name) {
-        self.sent.entry(server.clone()).or_default().push_back(now);
+        let sent = self.sent.entry(server.clone()).or_default();
+        forget_old(now, sent);
+        sent.push_back(now);
+    }
+
+    /// Returns the number of requests that are remembered for a server.
+    pub fn remembered(&self, server: &str) -> usize {
+        self.sent.get(server).map_or(0, VecDeque::len)
     }
 
     /// Forgets a server that is gone.
@@ -49,3 +54,9 @@
         self.sent.remove(server);
     }
 }
+
+fn forget_old(now: Instant, sent: &mut VecDeque<Instant>) {
+    while sent.front().is_some_and(|&at| now.since_ms(at) >= SPAN_MS) {
+        sent.pop_front();
+    }
+}
--- a/src/shell/gateway/peers.rs
+++ b/src/shell/gateway/peers.rs
@@ -247,7 +247,7 @@
 pub(super) async fn ask_suspects(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(Duration::from_millis(ASK_SUSPECTS_MS)).await;
-        let suspects = gateway.hosts.borrow().suspects();
+        let suspects = gateway.hosts.borrow_mut().suspects(gateway.now());
         for (name, address) in suspects {
             let gateway = gateway.clone();
             tokio::task::spawn_local(async move {
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -90,7 +90,7 @@
     assert!(table.suspect(at(1), &"a".into(), true));
     assert!(!table.suspect(at(2), &"a".into(), true), "no news");
     assert_eq!(table.reachable(at(3)).count(), 0);
-    assert_eq!(table.suspects().len(), 1);
+    assert_eq!(table.suspects(at(3)).len(), 1);
     assert!(table.suspect(at(4), &"a".into(), false));
     assert_eq!(table.reachable(at(5)).count(), 1);
 }
@@ -126,3 +126,13 @@
     table.heard(at(0), leaving, false);
     assert_eq!(lookup::addresses(at(1), &table, "east").len(), 1);
 }
+
+#[test]
+fn suspects_that_are_gone_are_forgotten() {
+    let mut table = Table::default();
+    table.heard(at(0), beat("a", "r", 1), false);
+    table.suspect(at(1), &"a".into(), true);
+    assert!(table.suspects(at(SILENCE_MS)).is_empty());
+    table.heard(at(60_000), beat("a", "r", 2), false);
+    assert_eq!(table.reachable(at(60_001)).count(), 1);
+}
--- a/tests/core/gateway/rate.rs
+++ b/tests/core/gateway/rate.rs
@@ -28,3 +28,13 @@
         meter.sent(at(0), &"s".into());
     }
 }
+
+#[test]
+fn sent_is_remembered_for_a_second_only() {
+    // Nobody asks about a server without a limit, and its requests are counted all the same.
+    let mut meter = Meter::default();
+    for now in 0..10_000 {
+        meter.sent(at(now), &"s".into());
+    }
+    assert_eq!(meter.remembered("s"), 1_000);
+}
