Split limits of servers so that the parts of all hosts add up

Cause: each host was given one request a second to every server at least, so that 73 hosts had 73 at a cold server that takes 25. With fewer hosts the parts were rounded down, 18 of 25 for nine hosts. Change: the whole requests of the limit are split evenly, and what is left goes to the hosts that come first by hashing, which differ from server to server. Test: rush_from 9 and from 73 hosts sends 25 each; before it was 18 and 73.

--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -8,6 +8,7 @@
         self,
         Server, //
     },
+    share,
 };
 use crate::{
     names::Name,
@@ -55,7 +56,7 @@
     /// Requests a second that a cold server takes from all hosts, 0 for no limit.
     pub cold_per_s: f64,
     /// Hosts that share the server.
-    pub hosts: usize,
+    pub group: &'a share::Group,
     /// Requests of this host that a server takes at once, by the connections that it takes from all.
     pub most_running: u32,
     /// Hosts in this data centre, which mostly use the same servers.
@@ -131,7 +132,7 @@
             }
             any = true;
             let id = &server.entry.id;
-            if !self.meter.allows(now, id, ask.cold_per_s, ask.hosts) {
+            if !self.meter.allows(now, id, ask.cold_per_s, ask.group) {
                 continue;
             }
             let load = self.loads.get(id).copied().unwrap_or_default();
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -10,6 +10,7 @@
     Serialize, //
 };
 
+use super::share;
 use crate::{
     names::Name,
     time::Instant, //
@@ -146,14 +147,14 @@
         })
     }
 
-    /// Returns the number of hosts among which limits of servers are shared, at least one.
-    pub fn sharers(&self, now: Instant) -> usize {
+    /// Returns the hosts among which limits of servers are shared, as `own` sees it.
+    pub fn sharers(&self, now: Instant, own: &Name) -> share::Group {
         let hosts = self.hosts.values();
-        let count = hosts.filter(|host| match self.silence_ms(now, host) {
+        let sharers = hosts.filter(|host| match self.silence_ms(now, host) {
             Some(silence) => silence < SHARE_SILENCE_MS,
             // It was there before this host started, and may be there still.
             None => now.as_ms() < SHARE_SILENCE_MS,
         });
-        count.count().max(1)
+        share::Group::new(own, sharers.map(|host| &host.beat.host))
     }
 }
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -14,5 +14,6 @@
 pub mod plan;
 pub mod rate;
 pub mod servers;
+pub mod share;
 pub mod spill;
 pub mod stream;
--- a/src/core/gateway/rate.rs
+++ b/src/core/gateway/rate.rs
@@ -5,6 +5,7 @@
     VecDeque, //
 };
 
+use super::share;
 use crate::{
     names::Name,
     time::Instant, //
@@ -23,18 +24,22 @@
 }
 
 impl Meter {
-    /// Returns whether one more request to a server keeps to `per_s` over all of `hosts`.
-    pub fn allows(&mut self, now: Instant, server: &Name, per_s: f64, hosts: usize) -> bool {
+    /// Returns whether one more request to a server keeps to `per_s` over all of a group.
+    pub fn allows(
+        &mut self,
+        now: Instant,
+        server: &Name,
+        per_s: f64,
+        group: &share::Group, //
+    ) -> bool {
         if per_s <= 0.0 {
             return true;
         }
-        let Some(sent) = self.sent.get_mut(server) else {
-            return true;
-        };
-        forget_old(now, sent);
-        // A host always has one request a second, or the last of many hosts would serve nothing.
-        let share = (per_s / hosts as f64).max(1.0);
-        (sent.len() as f64) + 1.0 <= share
+        let sent = self.sent.get_mut(server).map_or(0, |sent| {
+            forget_old(now, sent);
+            sent.len()
+        });
+        (sent as u64) < group.part(per_s as u64, server)
     }
 
     /// Counts a request.
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -126,7 +126,7 @@
     /// Returns the connections that this host may have open to a server of the request's service.
     fn connections(&self) -> usize {
         let service = self.config.services.get(&self.service);
-        let hosts = self.gateway.sharers();
+        let hosts = self.gateway.sharers().size();
         service.map_or(upstream::ANY_NUMBER, |service| {
             service.connections_for(hosts)
         })
@@ -142,7 +142,7 @@
             // Nothing arrived, so nothing is repeated.
             return true;
         }
-        let hosts = self.gateway.sharers();
+        let hosts = self.gateway.sharers().size();
         self.gateway
             .budget
             .borrow_mut()
@@ -161,12 +161,13 @@
         loop {
             let now = self.gateway.now();
             let tried = self.tried.borrow().clone();
+            let group = self.gateway.sharers();
             let ask = balance::Ask {
                 service: &self.service,
                 prompt: &self.prompt,
                 tried: &tried,
                 cold_per_s: cold_per_s * factor,
-                hosts: self.gateway.sharers(),
+                group: &group,
                 most_running: u32::try_from(self.connections()).unwrap_or(u32::MAX),
                 near_hosts: self.gateway.near_hosts(),
             };
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -35,6 +35,7 @@
         hosts,
         plan,
         servers,
+        share,
         spill, //
     },
     edges::gateway::Adapter,
@@ -125,9 +126,9 @@
         self.config.borrow().clone()
     }
 
-    /// Returns the number of hosts that share limits of servers.
-    fn sharers(&self) -> usize {
-        self.hosts.borrow().sharers(self.now())
+    /// Returns the hosts that share limits of servers.
+    fn sharers(&self) -> share::Group {
+        self.hosts.borrow().sharers(self.now(), &self.own.host)
     }
 
     /// Returns the number of hosts in this data centre.
--- a/src/shell/gateway/stages/gather.rs
+++ b/src/shell/gateway/stages/gather.rs
@@ -303,7 +303,7 @@
     if *tries == 0 {
         return false;
     }
-    let hosts = gateway.sharers();
+    let hosts = gateway.sharers().size();
     let now = gateway.now();
     gateway
         .budget
--- a/tests/core/gateway/balance.rs
+++ b/tests/core/gateway/balance.rs
@@ -1,3 +1,5 @@
+use std::sync::LazyLock;
+
 use teaselchute::{
     core::gateway::{
         balance::{
@@ -8,6 +10,7 @@
             Placed, //
         },
         servers::Table,
+        share::Group, //
     },
     names::Name,
     time::Instant,
@@ -34,13 +37,15 @@
     vec![part("group", 2_500), part(session, 3_800), part(own, 2_900)]
 }
 
+static ALONE: LazyLock<Group> = LazyLock::new(Group::default);
+
 fn ask<'a>(prompt: &'a [Part], tried: &'a [Name]) -> Ask<'a> {
     Ask {
         service: "llm",
         prompt,
         tried,
         cold_per_s: 0.0,
-        hosts: 1,
+        group: &ALONE,
         most_running: 1_000,
         near_hosts: 1,
     }
@@ -124,27 +129,38 @@
     }
 }
 
-/// The load pattern: a data centre returns cold, and all that waits goes there at once.
-#[test]
-fn place_keeps_to_the_rate_of_cold_servers() {
+/// The load pattern: a data centre returns cold, and all that waits goes there at once. Returns the
+/// requests that go to its server within a second.
+fn rush_from(hosts: usize) -> usize {
     let table = table(&["s1"]);
-    let mut hosts: Vec<Balancer> = (0..9).map(|_| Balancer::default()).collect();
+    let names: Vec<Name> = (0..hosts).map(|i| format!("host-{i}").into()).collect();
     let mut sent = 0;
-    for balancer in &mut hosts {
+    for own in &names {
+        let mut balancer = Balancer::default();
+        let group = Group::new(own, names.iter());
         for _ in 0..100 {
             let ask = Ask {
                 cold_per_s: 25.5,
-                hosts: 9,
+                group: &group,
                 ..ask(&[], &[])
             };
-            match place(balancer, at(100), &table, &ask) {
+            match place(&mut balancer, at(100), &table, &ask) {
                 Ok(_) => sent += 1,
                 Err(error) => assert_eq!(error, Error::Full),
             }
         }
     }
-    assert!(sent <= 25, "{sent} in one second");
-    assert!(sent >= 9, "each host serves some");
+    sent
+}
+
+#[test]
+fn place_keeps_to_the_rate_of_cold_servers() {
+    assert_eq!(rush_from(9), 25);
+}
+
+#[test]
+fn place_keeps_to_the_rate_of_cold_servers_from_more_hosts_than_requests() {
+    assert_eq!(rush_from(73), 25);
 }
 
 #[test]
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -71,7 +71,7 @@
     table.heard(at(0), beat("paused", "r", 1), false);
     table.heard(at(8_000), beat("a", "r", 2), false);
     assert_eq!(live(&table, 8_000), ["a"]);
-    assert_eq!(table.sharers(at(8_000)), 2);
+    assert_eq!(table.sharers(at(8_000), &"a".into()).size(), 2);
 }
 
 #[test]
@@ -79,8 +79,9 @@
     let mut table = Table::default();
     table.heard(at(0), beat("a", "r", 1), true);
     table.heard(at(0), beat("b", "r", 1), true);
-    assert_eq!(table.sharers(at(10)), 2);
-    assert_eq!(table.sharers(at(60_000)), 1, "at least this host");
+    assert_eq!(table.sharers(at(10), &"a".into()).size(), 2);
+    let size = table.sharers(at(60_000), &"a".into()).size();
+    assert_eq!(size, 1, "at least this host");
 }
 
 #[test]
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod rate;
 mod servers;
+mod share;
 mod spill;
 mod stream;
 
--- a/tests/core/gateway/rate.rs
+++ b/tests/core/gateway/rate.rs
@@ -1,30 +1,43 @@
-use teaselchute::core::gateway::rate::Meter;
+use teaselchute::core::gateway::{
+    rate::Meter,
+    share::Group, //
+};
 
-use super::at;
+use super::{
+    at,
+    names, //
+};
+
+fn group(own: &str, hosts: &[&str]) -> Group {
+    Group::new(&own.into(), names(hosts).iter())
+}
 
 #[test]
 fn allows_in_any_second() {
-    let mut meter = Meter::default();
+    let hosts = ["a", "b", "c"];
     let server = "s".into();
+    let mut meters = hosts.map(|own| (Meter::default(), group(own, &hosts)));
     let mut sent: Vec<u64> = Vec::new();
     for now in 0..5_000 {
-        if meter.allows(at(now), &server, 25.5, 3) {
-            meter.sent(at(now), &server);
-            sent.push(now);
+        for (meter, group) in &mut meters {
+            if meter.allows(at(now), &server, 25.5, group) {
+                meter.sent(at(now), &server);
+                sent.push(now);
+            }
         }
     }
     let most = sent.iter().map(|&from| {
         let within = sent.iter().filter(|&&at| at >= from && at < from + 1_000);
         within.count()
     });
-    assert_eq!(most.max(), Some(8), "a third of 25.5");
+    assert_eq!(most.max(), Some(25), "all of the whole requests in 25.5");
 }
 
 #[test]
 fn allows_all_without_a_limit() {
     let mut meter = Meter::default();
     for _ in 0..1_000 {
-        assert!(meter.allows(at(0), &"s".into(), 0.0, 9));
+        assert!(meter.allows(at(0), &"s".into(), 0.0, &group("a", &["b"])));
         meter.sent(at(0), &"s".into());
     }
 }
