Seal calls and datagrams between hosts; learn from other hosts where the store is away at the start

Cause: whoever reached the port for other hosts could run pieces, spoil beliefs about caches and read the configuration with its credentials. Change: each host has a key of random bytes, told by its heartbeat in the store and kept over its restarts there. Calls, answers and datagrams bear a keyed BLAKE3 seal over what they are for. Without the store a host asks the hosts that its settings name what they know; they tell addresses that hosts had, and leave keys out. What is read from the store goes before what was learned.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr, //
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
 };
 
 use serde::{
@@ -10,7 +13,10 @@
     Serialize, //
 };
 
-use super::share;
+use super::{
+    seal::Key,
+    share, //
+};
 use crate::{
     names::Name,
     time::Instant, //
@@ -47,6 +53,8 @@
     pub sequence: u64,
     /// Whether it takes callers.
     pub serving: bool,
+    /// Key under which messages to it are sealed, where it was told by the store.
+    pub key: Option<Key>,
 }
 
 /// A host as it was last heard.
@@ -76,7 +84,9 @@
     pub fn heard(&mut self, now: Instant, beat: Heartbeat, is_old: bool) -> bool {
         let known = self.hosts.get(&beat.host);
         let same = |host: &Host| {
-            host.beat.incarnation == beat.incarnation && host.beat.sequence == beat.sequence
+            host.beat.incarnation == beat.incarnation
+                && host.beat.sequence == beat.sequence
+                && host.beat.key == beat.key
         };
         if known.is_some_and(same) {
             return false;
@@ -147,6 +157,22 @@
         })
     }
 
+    /// Returns the key of the host at an address, of the one heard last where it was used again.
+    pub fn key_at(&self, peers: SocketAddr) -> Option<&Key> {
+        let there = self
+            .hosts
+            .values()
+            .filter(|host| host.beat.peers == peers && host.beat.key.is_some());
+        let newest = there.max_by_key(|host| host.heard)?;
+        newest.beat.key.as_ref()
+    }
+
+    /// Returns whether a host has ever had an address.
+    pub fn has_ip(&self, ip: IpAddr) -> bool {
+        let mut hosts = self.hosts.values();
+        hosts.any(|host| host.beat.peers.ip() == ip)
+    }
+
     /// Returns the hosts among which limits of servers are shared, as `own` sees it.
     pub fn sharers(&self, now: Instant, own: &Name) -> share::Group {
         let hosts = self.hosts.values();
--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -8,6 +8,11 @@
     net::SocketAddr,
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use crate::{
     names::Name,
     time::Instant, //
@@ -18,7 +23,7 @@
 const RETURN_MS: u64 = 2_000;
 
 /// A backend server as it registered itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its id, new with most starts.
     pub id: Name,
@@ -127,6 +132,16 @@
         self.servers.keys().cloned().collect()
     }
 
+    /// Returns all entries, with the time for which servers are still cold.
+    pub fn entries(&self, now: Instant) -> Vec<Entry> {
+        let servers = self.servers.values();
+        let entry = |server: &Server| Entry {
+            cold_ms: server.cold_until.since_ms(now),
+            ..server.entry.clone()
+        };
+        servers.map(entry).collect()
+    }
+
     /// Takes a data centre out, or back in.
     pub fn set_out(&mut self, data_centre: &Name, out: bool) -> bool {
         if out {
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -25,6 +25,8 @@
     pub listen: Listen,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Hosts that a host asks at its start while the store is away, by their addresses for other hosts.
+    pub seeds: Vec<SocketAddr>,
     /// Limits of the process.
     pub process: Process,
     /// Bounds that the operators set.
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::Cell,
     convert::Infallible,
+    net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
@@ -14,10 +15,6 @@
     StatusCode,
     header, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::{
     body::Incoming,
     server::conn::http1,
@@ -41,8 +38,6 @@
     },
     net, //
     peers,
-    stages,
-    store,
 };
 use crate::core::gateway::lookup;
 
@@ -118,9 +113,9 @@
             return;
         }
         let wait = Duration::from_millis(ACCEPT_WAIT_MS);
-        let stream = match tokio::time::timeout(wait, listener.accept()).await {
+        let (stream, from) = match tokio::time::timeout(wait, listener.accept()).await {
             Err(_) => continue,
-            Ok(Ok((stream, _))) => stream,
+            Ok(Ok(accepted)) => accepted,
             Ok(Err(_)) => {
                 // Out of descriptors, or the connection is gone already.
                 tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -134,18 +129,18 @@
         let gateway = gateway.clone();
         let open = open.clone();
         tokio::task::spawn_local(async move {
-            serve(&gateway, purpose, stream).await;
+            serve(&gateway, purpose, from, stream).await;
             open.set(open.get() - 1);
         });
     }
 }
 
-async fn serve(gateway: &Rc<Gateway>, purpose: Purpose, stream: TcpStream) {
+async fn serve(gateway: &Rc<Gateway>, purpose: Purpose, from: SocketAddr, stream: TcpStream) {
     let limits = gateway.config().map(|config| config.limits);
     let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms);
     let service = service_fn(|request| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(answer(gateway, purpose, request).await) }
+        async move { Ok::<_, Infallible>(answer(gateway, purpose, from, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -168,18 +163,19 @@
 async fn answer(
     gateway: Rc<Gateway>,
     purpose: Purpose,
+    from: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<Body> {
     match purpose {
         Purpose::Callers => forward::handle(gateway, request).await,
         Purpose::Ready => ready(&gateway, &request),
         Purpose::Lookup => look_up(&gateway, &request),
-        Purpose::Peers => serve_peer(&gateway, request).await,
+        Purpose::Peers => peers::serve(&gateway, from, request).await,
         Purpose::Metrics => with_status(StatusCode::OK, gateway.metrics.text()),
     }
 }
 
-fn with_status(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<Body> {
+pub(super) fn with_status(status: StatusCode, body: impl Into<bytes::Bytes>) -> Response<Body> {
     let mut response = Response::new(forward::whole(body));
     *response.status_mut() = status;
     response
@@ -214,54 +210,3 @@
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
 }
-
-async fn serve_peer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
-    let path = request.uri().path().to_string();
-    let body = Limited::new(request.into_body(), peers::MAX_BODY_BYTES)
-        .collect()
-        .await;
-    let Ok(body) = body else {
-        return with_status(StatusCode::BAD_REQUEST, "body broke off");
-    };
-    let body = body.to_bytes();
-    let reply = match path.as_str() {
-        peers::PIECES_PATH => match postcard::from_bytes(&body) {
-            Ok(ask) => postcard::to_allocvec(&run_pieces(gateway, ask).await),
-            Err(error) => Err(error),
-        },
-        peers::FREE_PATH => match postcard::from_bytes::<peers::Free>(&body) {
-            Ok(free) => {
-                stages::free_here(gateway, &free.service, free.results).await;
-                Ok(Vec::new())
-            }
-            Err(error) => Err(error),
-        },
-        peers::PROGRESS_PATH => match postcard::from_bytes(&body) {
-            Ok(progress) => {
-                stages::heard_progress(gateway, progress);
-                Ok(Vec::new())
-            }
-            Err(error) => Err(error),
-        },
-        peers::RELAY_PATH => match postcard::from_bytes(&body) {
-            Ok(relay) => postcard::to_allocvec(&store::relay(gateway, relay).await),
-            Err(error) => Err(error),
-        },
-        peers::PING_PATH => Ok(Vec::new()),
-        _ => return with_status(StatusCode::NOT_FOUND, ""),
-    };
-    match reply {
-        Ok(body) => with_status(StatusCode::OK, body),
-        Err(error) => with_status(StatusCode::BAD_REQUEST, error.to_string()),
-    }
-}
-
-async fn run_pieces(gateway: &Rc<Gateway>, ask: peers::Ask) -> peers::Reply {
-    let service = ask.service.clone();
-    let may_forward = !ask.is_forwarded;
-    let pieces = ask.pieces(gateway.now());
-    match stages::run_as_owner(gateway, &service, pieces, may_forward).await {
-        Ok((owner, results)) => peers::Reply::Results { results, owner },
-        Err(failure) => peers::Reply::Failed(failure.into()),
-    }
-}
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -1,6 +1,9 @@
 //! What the gateway logs: one line for each decision, rendered in one place.
 
-use std::cell::Cell;
+use std::{
+    cell::Cell,
+    net::SocketAddr, //
+};
 
 use slog::Logger;
 
@@ -45,6 +48,22 @@
         /// What was seen.
         why: &'a str,
     },
+    /// A host said what it knows, while the store is away at the start.
+    Learned {
+        /// The host.
+        from: SocketAddr,
+        /// Time since it read the store.
+        read_ms: u64,
+        /// Why it said nothing.
+        error: Option<String>,
+    },
+    /// A message wasn't taken, since it doesn't come from a host.
+    Unsealed {
+        /// Where it came from.
+        from: SocketAddr,
+        /// What it asked for.
+        what: &'static str,
+    },
     /// The process stood still.
     Paused {
         /// For how long.
@@ -241,6 +260,16 @@
             Event::Dependency { name, up, why } => {
                 slog::warn!(log, "dependency"; "name" => name, "up" => up, "why" => why);
             }
+            Event::Learned {
+                from,
+                read_ms,
+                error,
+            } => {
+                slog::info!(log, "learned"; "from" => %from, "read_ms" => read_ms, "error" => error);
+            }
+            Event::Unsealed { from, what } => {
+                slog::warn!(log, "not sealed"; "from" => %from, "what" => what);
+            }
             Event::Paused { ms } => slog::warn!(log, "paused"; "ms" => ms),
             Event::Configuration { version, before } => {
                 slog::info!(log, "configuration"; "version" => version, "before" => before);
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -6,6 +6,7 @@
 use std::{
     cell::{
         Cell,
+        OnceCell,
         RefCell, //
     },
     collections::HashMap,
@@ -34,6 +35,7 @@
         config::Config,
         hosts,
         plan,
+        seal::Key,
         servers,
         share,
         spill, //
@@ -102,6 +104,8 @@
     far: RefCell<spill::Map>,
     pool: Rc<upstream::Pool>,
     store: store::State,
+    /// Key under which other hosts seal what they send here.
+    key: OnceCell<Key>,
     /// Requests and connections that run.
     running: Cell<usize>,
     /// When SIGTERM came.
@@ -179,6 +183,7 @@
     store::spawn(&gateway);
     front::spawn(&gateway, listeners);
     tokio::task::spawn_local(peers::ask_suspects(gateway.clone()));
+    tokio::task::spawn_local(peers::learn(gateway.clone()));
     tokio::task::spawn_local(tick(gateway.clone()));
     tokio::task::spawn_local(reload(gateway.clone(), read));
     let mut terminate = signal(SignalKind::terminate()).context("can't catch SIGTERM")?;
@@ -219,6 +224,7 @@
         far: RefCell::default(),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
+        key: OnceCell::new(),
         running: Cell::default(),
         leaving: Cell::default(),
         left: tokio::sync::watch::Sender::new(false),
--- a/src/shell/gateway/news.rs
+++ b/src/shell/gateway/news.rs
@@ -22,7 +22,8 @@
             self,
             Part, //
         },
-        cache, //
+        cache,
+        seal::SEAL_BYTES, //
     },
     names::Name,
 };
@@ -32,7 +33,7 @@
 const GATHER_MS: u64 = 60;
 
 /// Largest datagram, in bytes.
-const MAX_BYTES: usize = 1_300;
+const MAX_BYTES: usize = 1_300 + SEAL_BYTES;
 
 /// Placements in one datagram, as large as two parts and a name make them.
 const MAX_PLACEMENTS: usize = 30;
@@ -83,14 +84,18 @@
             let others = hosts
                 .live(now)
                 .filter(|host| host.beat.host != gateway.own.host);
-            others.map(|host| host.beat.news).collect()
+            // One whose key isn't known yet hears of later placements.
+            let told = others.filter_map(|host| Some((host.beat.news, host.beat.key.clone()?)));
+            told.collect()
         };
         for chunk in placements.chunks(MAX_PLACEMENTS) {
             // Placements always serialize, and a datagram that can't be sent is as good as lost.
             let Ok(datagram) = postcard::to_allocvec(chunk) else {
                 continue;
             };
-            for host in &hosts {
+            for (host, key) in &hosts {
+                let mut datagram = datagram.clone();
+                key.seal_datagram(&mut datagram);
                 let _ = socket.try_send_to(&datagram, *host);
             }
         }
@@ -110,12 +115,14 @@
             .borrow()
             .live(now)
             .any(|host| host.beat.news == from);
-        let Ok(placements) = postcard::from_bytes::<Vec<Placement>>(&buffer[..length]) else {
+        let key = gateway.key.get();
+        let content = key.and_then(|key| key.open_datagram(&buffer[..length]));
+        let Some(content) = content.filter(|_| is_host) else {
             continue;
         };
-        if !is_host {
+        let Ok(placements) = postcard::from_bytes::<Vec<Placement>>(content) else {
             continue;
-        }
+        };
         let servers = gateway.servers.borrow();
         let mut balancer = gateway.balancer.borrow_mut();
         for Placement { server, parts } in &placements {
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -7,13 +7,17 @@
 
 use crate::shell::gateway::{
     Gateway,
-    log::Event, //
+    log::Event,
+    peers::Known, //
 };
 use crate::{
     core::gateway::{
         config::Config,
         hosts::Heartbeat,
-        servers::Change, //
+        servers::{
+            Change,
+            Entry, //
+        },
     },
     edges::gateway::{
         Record,
@@ -27,6 +31,43 @@
 /// have lapsed, and are back about two seconds after the store.
 const SHAKY_MS: u64 = 3_000;
 
+/// Takes what another host knows, as far as this one hasn't read it from the store.
+pub(in crate::shell::gateway) fn learned(gateway: &Gateway, known: Known) {
+    let now = gateway.now();
+    let state = &gateway.store;
+    if !state.has_read(Topic::Operator) {
+        apply_wish(
+            gateway,
+            &Record {
+                key: known.config_key,
+                value: Some(known.config.into()),
+            },
+        );
+        let out = gateway.servers.borrow().out().clone();
+        for name in out.iter().filter(|name| !known.out.contains(name)) {
+            set_out(gateway, name, false);
+        }
+        for name in &known.out {
+            set_out(gateway, name, true);
+        }
+    }
+    if !state.has_read(Topic::Servers) {
+        let keys: BTreeSet<Name> = known.servers.iter().map(|entry| entry.id.clone()).collect();
+        for entry in known.servers {
+            let id = entry.id.clone();
+            take_server(gateway, &id, Some(entry), false);
+        }
+        forget_missing(gateway, Topic::Servers, &keys);
+        state.has_servers.set(true);
+    }
+    if !state.has_read(Topic::Hosts) {
+        let others = known.hosts.into_iter();
+        for beat in others.filter(|beat| beat.host != gateway.own.host) {
+            gateway.hosts.borrow_mut().heard(now, beat, false);
+        }
+    }
+}
+
 /// Treats what is known but not in a whole list as dropped.
 pub(super) fn forget_missing(gateway: &Gateway, topic: Topic, keys: &BTreeSet<Name>) {
     let known = match topic {
@@ -70,24 +111,30 @@
 
 pub(super) fn apply_wish(gateway: &Gateway, record: &Record) {
     match gateway.adapter.wish(record) {
-        Ok(Wish::Config(config)) => put_in_force(gateway, *config),
+        Ok(Wish::Config(config)) => {
+            if put_in_force(gateway, *config) {
+                *gateway.store.config.borrow_mut() = Some(record.clone());
+            }
+        }
         Ok(Wish::Out { data_centre, out }) => set_out(gateway, &data_centre, out),
         Ok(Wish::Other) => {}
         Err(error) => bad_record(gateway, &record.key, error.to_string()),
     }
 }
 
-pub(super) fn put_in_force(gateway: &Gateway, config: Config) {
+/// Puts a configuration in force, unless a newer one is. Returns whether it did.
+fn put_in_force(gateway: &Gateway, config: Config) -> bool {
     let before = gateway.config().map(|config| config.version);
     // Reads may be old, and a configuration never goes back.
     if before.is_some_and(|before| config.version <= before) {
-        return;
+        return false;
     }
     gateway.log.write(&Event::Configuration {
         version: config.version,
         before,
     });
     *gateway.config.borrow_mut() = Some(Rc::new(config));
+    true
 }
 
 pub(super) fn set_out(gateway: &Gateway, name: &Name, out: bool) {
@@ -108,11 +155,20 @@
         }
     };
     // Only an entry that isn't there may have lapsed.
-    let is_shaky = is_shaky && record.value.is_none();
+    take_server(
+        gateway,
+        &record.key,
+        entry,
+        is_shaky && record.value.is_none(),
+    );
+}
+
+fn take_server(gateway: &Gateway, id: &Name, entry: Option<Entry>, is_shaky: bool) {
+    let now = gateway.now();
     let change = gateway
         .servers
         .borrow_mut()
-        .update(now, &record.key, entry, is_shaky);
+        .update(now, id, entry, is_shaky);
     let change = match change {
         None => return,
         Some(Change::Joined(_)) => "joined",
@@ -120,12 +176,9 @@
         Some(Change::Restarted(_)) => "restarted",
     };
     if change != "joined" {
-        gateway.balancer.borrow_mut().forget(&record.key);
+        gateway.balancer.borrow_mut().forget(id);
     }
-    gateway.log.write(&Event::Server {
-        id: &record.key,
-        change,
-    });
+    gateway.log.write(&Event::Server { id, change });
 }
 
 pub(super) fn apply_host(gateway: &Gateway, record: &Record, is_old: bool) {
@@ -134,6 +187,12 @@
         Ok(beat) => beat,
         Err(error) => return bad_record(gateway, &record.key, error.to_string()),
     };
+    if beat.host == gateway.own.host
+        && let Some(key) = &beat.key
+    {
+        // Where it is set already, it is this one.
+        let _ = gateway.key.set(key.clone());
+    }
     let name = beat.host.clone();
     let serving = beat.serving;
     let now = gateway.now();
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -34,12 +34,16 @@
     },
 };
 use crate::{
-    core::gateway::hosts::{
-        HEARTBEAT_MS,
-        Heartbeat, //
+    core::gateway::{
+        hosts::{
+            HEARTBEAT_MS,
+            Heartbeat, //
+        },
+        seal::Key,
     },
     edges::gateway::{
         Call,
+        Record,
         Topic, //
     },
     names::Name,
@@ -49,6 +53,7 @@
 
 mod apply;
 
+pub(super) use apply::learned;
 use apply::{
     apply,
     forget_missing, //
@@ -65,6 +70,10 @@
 /// Pause between reads of topics that change all the time, in milliseconds. Each read is paid for.
 const PAUSE_MS: u64 = 800;
 
+/// Pause before it is looked again whether this host has a key, in milliseconds: two answers of the
+/// store.
+const KEY_PAUSE_MS: u64 = 10;
+
 /// Pause after a failure, in milliseconds.
 const RETRY_MS: u64 = 150;
 
@@ -89,6 +98,8 @@
 /// Status of a read from an offset that isn't kept any more.
 const GONE: u16 = 410;
 
+const TOPICS: [Topic; 3] = [Topic::Operator, Topic::Servers, Topic::Hosts];
+
 /// What is known of the store itself.
 #[derive(Default)]
 pub(super) struct State {
@@ -97,12 +108,39 @@
     down: RefCell<BTreeSet<Topic>>,
     /// Whether the servers were read once.
     pub(super) has_servers: Cell<bool>,
+    /// The newest configuration, as the store holds it.
+    pub(super) config: RefCell<Option<Record>>,
+    // When what operators want was last read.
+    read: Cell<Option<Instant>>,
+    // Topics that were read once.
+    loaded: RefCell<BTreeSet<Topic>>,
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
     turn: Cell<usize>,
     bad: RefCell<BTreeSet<Name>>,
 }
 
+impl State {
+    /// Returns whether all topics were read.
+    pub(super) fn has_read_all(&self) -> bool {
+        self.loaded.borrow().len() == TOPICS.len()
+    }
+
+    fn has_read(&self, topic: Topic) -> bool {
+        self.loaded.borrow().contains(&topic)
+    }
+
+    /// Returns whether the store gave no answer to a last call.
+    pub(super) fn is_failing(&self) -> bool {
+        !self.down.borrow().is_empty()
+    }
+
+    /// Returns the time since it was last read what operators want, in milliseconds.
+    pub(super) fn read_ms(&self, now: Instant) -> u64 {
+        self.read.get().map_or(u64::MAX, |read| now.since_ms(read))
+    }
+}
+
 #[derive(Debug, thiserror::Error)]
 enum Error {
     #[error("{0}")]
@@ -120,7 +158,7 @@
 /// Starts the tasks that follow the store.
 pub(super) fn spawn(gateway: &Rc<Gateway>) {
     gateway.store.incarnation.set(draw_incarnation());
-    for topic in [Topic::Operator, Topic::Servers, Topic::Hosts] {
+    for topic in TOPICS {
         tokio::task::spawn_local(follow(gateway.clone(), topic));
     }
     tokio::task::spawn_local(beat(gateway.clone()));
@@ -296,6 +334,9 @@
             }
         }
         None => {
+            if topic == Topic::Operator {
+                state.read.set(Some(now));
+            }
             if state.down.borrow_mut().remove(&topic) {
                 if topic == Topic::Hosts {
                     gateway.hosts.borrow_mut().store_returned(now);
@@ -341,9 +382,12 @@
     let keys: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
     apply(gateway, topic, records, true);
     forget_missing(gateway, topic, &keys);
-    if topic == Topic::Servers {
-        gateway.store.has_servers.set(true);
+    match topic {
+        Topic::Operator => {}
+        Topic::Servers => gateway.store.has_servers.set(true),
+        Topic::Hosts => settle_key(gateway),
     }
+    gateway.store.loaded.borrow_mut().insert(topic);
     Ok(from.unwrap_or(0))
 }
 
@@ -359,6 +403,23 @@
     Ok(tail.next)
 }
 
+/// Draws a key for this host, unless its last life left one in the store. Others know that one.
+fn settle_key(gateway: &Gateway) {
+    if gateway.key.get().is_some() {
+        return;
+    }
+    let mut bytes = [0; 32];
+    match getrandom::fill(&mut bytes) {
+        // It was found to be unset above.
+        Ok(()) => drop(gateway.key.set(Key::new(bytes))),
+        Err(error) => gateway.log.write(&Event::Dependency {
+            name: "random numbers",
+            up: false,
+            why: &error.to_string(),
+        }),
+    }
+}
+
 fn heartbeat(gateway: &Gateway) -> Heartbeat {
     let state = &gateway.store;
     let sequence = state.sequence.get() + 1;
@@ -374,6 +435,7 @@
         incarnation: state.incarnation.get(),
         sequence,
         serving: gateway.leaving.get().is_none(),
+        key: gateway.key.get().cloned(),
     }
 }
 
@@ -388,7 +450,9 @@
         // A host knows itself, whatever the store says.
         let now = gateway.now();
         gateway.hosts.borrow_mut().heard(now, beat.clone(), false);
-        if let Err(error) = say(&gateway, &beat).await {
+        // Others can't use a heartbeat without a key, and one in the store may have it.
+        let is_told = beat.key.is_some();
+        if is_told && let Err(error) = say(&gateway, &beat).await {
             // The next heartbeat is the retry.
             gateway.log.write(&Event::Dependency {
                 name: "heartbeat",
@@ -396,7 +460,8 @@
                 why: &error.to_string(),
             });
         }
-        tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
+        let pause_ms = if is_told { HEARTBEAT_MS } else { KEY_PAUSE_MS };
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -24,6 +24,7 @@
         incarnation: 1,
         sequence,
         serving: true,
+        key: None,
     }
 }
 
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod plan;
 mod rate;
+mod seal;
 mod servers;
 mod share;
 mod spill;
