Bound heads and bodies of callers' requests as the configuration says; split sending by step

Cause: the configuration's largest head and time for a head were read and not used, bodies were bounded each but not in sum, and send.rs held choosing, sending and receiving. Change: 431 for a head over the limit; a connection whose head takes too long is closed, while idle ones and long answers are left alone; bodies share a quarter of the memory, and one for which there is none is read to its end and refused as not run. forward/place.rs and forward/receive.rs hold their steps; giving a place back stands once; that no server is left is a flag, not a count of attempts. Tests: head_that_is_too_large, head_that_is_too_slow, bodies_within_the_memory_for_them.

--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -19,10 +19,6 @@
     StatusCode,
     header, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 
@@ -55,6 +51,7 @@
 
 pub(super) use reply::{
     Body,
+    Broken,
     whole, //
 };
 use reply::{
@@ -65,7 +62,10 @@
 };
 use send::Answer;
 
+mod body;
+mod place;
 mod prepare;
+mod receive;
 mod reply;
 mod send;
 mod stream;
@@ -145,9 +145,12 @@
     tried: RefCell<Vec<Name>>,
     results: Results,
     inputs: RefCell<Vec<Name>>,
+    /// Whether no server is left to try.
+    is_exhausted: Cell<bool>,
     /// Region in which it runs best.
     region: RefCell<Name>,
     _running: Running,
+    _held: body::Held,
 }
 
 /// Answers a request of a caller.
@@ -171,6 +174,16 @@
     parts.collect()
 }
 
+/// Returns the bytes that a head takes on the wire.
+fn head_bytes(head: &http::request::Parts) -> usize {
+    /// Bytes between a name and its value, and at the end of a line.
+    const LINE_BYTES: usize = 4;
+    let line = head.method.as_str().len() + head.uri.to_string().len();
+    let headers = head.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES);
+    line + headers.sum::<usize>()
+}
+
 /// Reads a request and finds out what it may do.
 async fn take(
     gateway: &Rc<Gateway>,
@@ -187,6 +200,10 @@
         return Err(Refusal::new(StatusCode::BAD_REQUEST, "no request id"));
     }
     let (head, body) = request.into_parts();
+    if head_bytes(&head) > config.limits.head_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(Refusal::new(status, "head too large"));
+    }
     let credential = head.headers.get(&names.credential);
     let credential = credential.and_then(|value| value.to_str().ok());
     let host = text(&head.headers, &header::HOST);
@@ -198,18 +215,10 @@
     let time_left: Option<u64> = text(&head.headers, &names.time_left).parse().ok();
     let time_left = time_left.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = arrived.after_ms(time_left);
-    let body = Limited::new(body, config.limits.body_bytes).collect();
-    let body = tokio::time::timeout(Duration::from_millis(time_left), body)
+    let body = body::read(gateway, body, config.limits.body_bytes);
+    let (body, held) = tokio::time::timeout(Duration::from_millis(time_left), body)
         .await
-        .map_err(|_| Refusal::new(StatusCode::REQUEST_TIMEOUT, "body too slow"))?
-        .map_err(|error| {
-            if error.is::<http_body_util::LengthLimitError>() {
-                Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
-            } else {
-                Refusal::new(StatusCode::BAD_REQUEST, "body broke off")
-            }
-        })?
-        .to_bytes();
+        .map_err(|_| Refusal::new(StatusCode::REQUEST_TIMEOUT, "body too slow"))??;
     let service = route.target(balance::hash(&[id]));
     let service = service
         .cloned()
@@ -243,8 +252,10 @@
             made: RefCell::default(),
         },
         inputs: RefCell::default(),
+        is_exhausted: Cell::default(),
         region: RefCell::new(gateway.own.region.clone()),
         _running: running,
+        _held: held,
     })
 }
 
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -26,6 +26,7 @@
 
 use super::{
     Flight, LATE_MS,
+    place::Place,
     reply::{
         Body,
         Broken,
@@ -33,10 +34,7 @@
         WAITING_CHUNKS,
         clean, //
     },
-    send::{
-        Answer,
-        Place, //
-    },
+    send::Answer,
 };
 
 /// A stream whose first events came.
--- a/src/shell/gateway/front.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -36,14 +36,25 @@
         self,
         Body, //
     },
+    log::Event,
     net, //
     peers,
 };
 use crate::core::gateway::lookup;
 
+mod pace;
+
+use pace::{
+    Pace,
+    Watched, //
+};
+
 /// Longest time for which a connection may be idle before a configuration says so, in milliseconds.
 const IDLE_MS: u64 = 15_000;
 
+/// Time for which a head may take before a configuration says so, in milliseconds.
+const HEAD_MS: u64 = 3_000;
+
 /// Bytes that a connection buffers, at least the largest head.
 const BUFFER_BYTES: usize = 64 * 1024;
 
@@ -138,22 +149,35 @@
 async fn serve(gateway: &Rc<Gateway>, purpose: Purpose, from: SocketAddr, stream: TcpStream) {
     let limits = gateway.config().map(|config| config.limits);
     let idle_ms = limits.map_or(IDLE_MS, |limits| limits.idle_timeout_ms);
+    let head_ms = limits.map_or(HEAD_MS, |limits| limits.head_timeout_ms);
+    let pace = Pace::new();
     let service = service_fn(|request| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(answer(gateway, purpose, from, request).await) }
+        let _busy = pace.head_came();
+        async move {
+            let response = answer(gateway, purpose, from, request).await;
+            Ok::<_, Infallible>(response.map(|body| pace::Answer { body, _busy }))
+        }
     });
+    let watched = Watched {
+        stream,
+        pace: pace.clone(),
+    };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
         .max_buf_size(BUFFER_BYTES)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(watched), service);
     tokio::pin!(connection);
     let mut left = gateway.left.subscribe();
     let is_caller = purpose == Purpose::Callers;
     tokio::select! {
         // How a caller's connection ends is the caller's matter.
         _ = connection.as_mut() => return,
+        () = pace.wait_for_slow_head(head_ms) => {
+            return gateway.log.write(&Event::SlowHead { from });
+        }
         _ = left.wait_for(|left| *left && is_caller) => {}
     }
     connection.as_mut().graceful_shutdown();
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -64,6 +64,11 @@
         /// What it asked for.
         what: &'static str,
     },
+    /// A connection was closed, since the head of a request took too long.
+    SlowHead {
+        /// The caller.
+        from: SocketAddr,
+    },
     /// The process stood still.
     Paused {
         /// For how long.
@@ -267,6 +272,7 @@
             } => {
                 slog::info!(log, "learned"; "from" => %from, "read_ms" => read_ms, "error" => error);
             }
+            Event::SlowHead { from } => slog::info!(log, "slow head"; "from" => %from),
             Event::Unsealed { from, what } => {
                 slog::warn!(log, "not sealed"; "from" => %from, "what" => what);
             }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -108,6 +108,8 @@
     key: OnceCell<Key>,
     /// Requests and connections that run.
     running: Cell<usize>,
+    /// Bytes of callers' bodies that are held.
+    held_bytes: Cell<usize>,
     /// When SIGTERM came.
     leaving: Cell<Option<Instant>>,
     left: tokio::sync::watch::Sender<bool>,
@@ -226,6 +228,7 @@
         store: store::State::default(),
         key: OnceCell::new(),
         running: Cell::default(),
+        held_bytes: Cell::default(),
         leaving: Cell::default(),
         left: tokio::sync::watch::Sender::new(false),
         own,
