Take a server to be full after it lacked room for a call; tell a request's story from log files

Cause: the room of a call that found none was given back after the server was noted as full, so that just this room looked free. Tests: next_pieces_without_room_go_elsewhere; story.rs.

--- a/src/bin/teaselchute/args.rs
+++ b/src/bin/teaselchute/args.rs
@@ -24,6 +24,7 @@
   drain TARGET              take a data centre, or a server as POOL/SERVER, out
   undrain TARGET            bring it back
   why ORGANISATION/ID       show each decision about a request and its reason
+  why ID --log FILE         tell a request's story from the log lines of all hosts
   hosts                     show the entry hosts
   servers                   show the backend servers
   digest FILE               print the digest of the credential in a file
@@ -54,8 +55,8 @@
         /// Whether it's taken out.
         out: bool,
     },
-    /// Show decisions.
-    Why(String),
+    /// Show decisions about a request, from the hosts or from log files.
+    Why(String, Vec<PathBuf>),
     /// Show entry hosts.
     Hosts,
     /// Show backend servers.
@@ -107,6 +108,12 @@
         "id of the change, the same to learn the verdict of one sent before",
         "ID",
     );
+    parser.optmulti(
+        "",
+        "log",
+        "file with log lines of one host or several, may be repeated",
+        "FILE",
+    );
     parser.optflag("", "json", "print JSON");
     parser.optflag("h", "help", "print this help");
     parser
@@ -133,7 +140,9 @@
     if matches.opt_present("help") {
         return Ok(Parsed::Text(usage()));
     }
-    let action = action(name, &matches.free).ok_or_else(|| wrong(name, &usage()))?;
+    let logs = matches.opt_strs("log").into_iter().map(PathBuf::from);
+    let action =
+        action(name, &matches.free, logs.collect()).ok_or_else(|| wrong(name, &usage()))?;
     let mut hosts = matches.opt_strs("host");
     if hosts.is_empty() {
         let listed = std::env::var(HOSTS_VARIABLE).unwrap_or_default();
@@ -175,7 +184,7 @@
         "status" => "status",
         "drain" => "drain DATA_CENTRE|POOL/SERVER",
         "undrain" => "undrain DATA_CENTRE|POOL/SERVER",
-        "why" => "why ORGANISATION/ID",
+        "why" => "why ORGANISATION/ID, why ID --log FILE",
         "hosts" => "hosts",
         "servers" => "servers",
         "digest" => "digest FILE",
@@ -183,7 +192,7 @@
     }
 }
 
-fn action(name: &str, free: &[String]) -> Option<Action> {
+fn action(name: &str, free: &[String], logs: Vec<PathBuf>) -> Option<Action> {
     let action = match (name, free) {
         ("check", [file]) => Action::Check(file.into()),
         ("try", [environment, file]) => Action::Try(environment.clone(), file.into()),
@@ -194,7 +203,7 @@
             target: target.clone(),
             out: name == "drain",
         },
-        ("why", [subject]) => Action::Why(subject.clone()),
+        ("why", [subject]) => Action::Why(subject.clone(), logs),
         ("hosts", []) => Action::Hosts,
         ("servers", []) => Action::Servers,
         ("digest", [file]) => Action::Digest(file.into()),
--- a/src/bin/teaselchute/commands.rs
+++ b/src/bin/teaselchute/commands.rs
@@ -1,6 +1,9 @@
 //! What each subcommand does.
 
-use std::path::Path;
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 use anyhow::{
     Context,
@@ -12,9 +15,15 @@
     json, //
 };
 use teaselchute::{
-    core::document::{
-        self,
-        Document, //
+    core::{
+        document::{
+            self,
+            Document, //
+        },
+        story::{
+            Line,
+            Story, //
+        },
     },
     shell::clock, //
 };
@@ -36,6 +45,7 @@
     match &command.action {
         Action::Check(file) => return check(file, command.json),
         Action::Digest(file) => return digest(file),
+        Action::Why(id, logs) if !logs.is_empty() => return tell(id, logs),
         _ => {}
     }
     let client = Client::open(&command).await?;
@@ -46,7 +56,7 @@
         Action::Diff(from, to) => diff(&client, &command, from, to).await,
         Action::Status => status(&client, &command).await,
         Action::Drain { target, out } => drain(&client, &command, target, *out).await,
-        Action::Why(subject) => why(&client, &command, subject).await,
+        Action::Why(subject, _) => why(&client, &command, subject).await,
         Action::Hosts => table(&client, &command, "/v1/operator/hosts", HOST_FIELDS).await,
         Action::Servers => table(&client, &command, "/v1/operator/servers", SERVER_FIELDS).await,
     }
@@ -106,6 +116,24 @@
     Ok(0)
 }
 
+/// Prints the story of a request from log files.
+fn tell(id: &str, files: &[PathBuf]) -> anyhow::Result<u8> {
+    let mut lines = Vec::new();
+    for file in files {
+        // Collectors cut lines, and what is around the cut need not be text.
+        let bytes = std::fs::read(file);
+        let bytes = bytes.with_context(|| format!("can't read {}", file.display()))?;
+        let text = String::from_utf8_lossy(&bytes);
+        let source = file.file_stem().unwrap_or_default().to_string_lossy();
+        lines.extend(text.lines().filter_map(|line| Line::parse(&source, line)));
+    }
+    let Some(story) = Story::find(&lines, id) else {
+        bail!("{} log lines, none about {id:?}", lines.len());
+    };
+    println!("{story}");
+    Ok(0)
+}
+
 /// An environment as a host has it: revision and document, 0 and empty where it isn't there.
 async fn environment(client: &Client, name: &str) -> anyhow::Result<(u64, Value)> {
     let path = format!("/v1/operator/environments/{name}/document");
--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -68,6 +68,20 @@
     pub pieces: Vec<(Ticket, Piece)>,
 }
 
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome<'a> {
+    /// Its server ran it.
+    Ran {
+        /// Results in the order of the pieces, `None` for one that has none.
+        results: &'a [Option<Name>],
+        /// Whether the server had no room for one.
+        lacks_room: bool,
+    },
+    /// It failed as a whole.
+    Failed,
+}
+
 /// What a server does and holds for this host.
 #[derive(Debug, Default)]
 struct Server {
@@ -320,21 +334,21 @@
         stage(one) == stage(other)
     }
 
-    /// Notes that a call ended, with the results of its pieces. A server that failed it is left
-    /// alone for a while.
-    pub fn finished(
-        &mut self,
-        now: Instant,
-        stages: &Stages,
-        call: &Call,
-        results: Option<&[Option<Name>]>,
-    ) {
+    /// Notes that a call ended. A server that failed it is left alone for a while.
+    ///
+    /// One that had no room where this host thought that it had is taken to be full until results
+    /// are freed. Hosts that were killed leave results behind, which go by themselves.
+    pub fn finished(&mut self, now: Instant, stages: &Stages, call: &Call, outcome: Outcome<'_>) {
         let server = self.servers.entry(call.server.clone()).or_default();
         server.calls = server.calls.saturating_sub(1);
         let reserved = call.pieces.iter().map(|(_, piece)| piece.result_bytes);
         let reserved: u64 = reserved.sum();
         server.reserved_bytes = server.reserved_bytes.saturating_sub(reserved);
-        let Some(results) = results else {
+        let Outcome::Ran {
+            results,
+            lacks_room,
+        } = outcome
+        else {
             server.avoid_until = now.after_ms(AVOID_MS);
             return;
         };
@@ -346,14 +360,12 @@
                 server.results.insert(result.clone(), held);
             }
         }
-    }
-
-    /// Notes that a server had no room where this host thought that it had. Hosts that were killed
-    /// leave results behind, which go by themselves.
-    pub fn no_room(&mut self, now: Instant, stages: &Stages, name: &str) {
-        let left = self.room_left(stages, name);
-        if let Some(server) = self.servers.get_mut(name) {
-            server.foreign = (server.foreign.0 + left, now.after_ms(FOREIGN_MS));
+        if lacks_room {
+            let foreign = server.foreign.0;
+            let left = self.room_left(stages, &call.server);
+            if let Some(server) = self.servers.get_mut(&call.server) {
+                server.foreign = (foreign + left, now.after_ms(FOREIGN_MS));
+            }
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,4 +22,5 @@
 pub mod roster;
 pub mod routing;
 pub mod state;
+pub mod story;
 pub mod view;
--- a/src/shell/gateway/stages/gather.rs
+++ b/src/shell/gateway/stages/gather.rs
@@ -33,6 +33,7 @@
     core::gateway::{
         batch::{
             Call,
+            Outcome,
             Piece,
             Queue,
             Ticket, //
@@ -265,24 +266,24 @@
         outcome,
         ms: now.since_ms(start),
     });
-    if end.without_room() > 0 {
-        let mut queue = gatherer.queue.borrow_mut();
-        queue.no_room(now, &stages, &call.server);
-    }
+    let lacks_room = end.without_room() > 0;
     let results = match end {
         End::Results(results) => results,
         End::NotRun(_) | End::Lost(_) => vec![Err(Failure::Failed); call.pieces.len()],
     };
     let handles: Vec<Option<Name>> = results.iter().cloned().map(Result::ok).collect();
-    let handles = if failed {
-        None
+    let outcome = if failed {
+        Outcome::Failed
     } else {
-        Some(handles.as_slice())
+        Outcome::Ran {
+            results: &handles,
+            lacks_room,
+        }
     };
     gatherer
         .queue
         .borrow_mut()
-        .finished(now, &stages, &call, handles);
+        .finished(now, &stages, &call, outcome);
     for ((ticket, piece), result) in call.pieces.into_iter().zip(results) {
         let may_retry = matches!(result, Err(Failure::Failed | Failure::NoRoom));
         if may_retry && take_retry(gateway, gatherer, ticket) {
--- a/tests/core/gateway/batch.rs
+++ b/tests/core/gateway/batch.rs
@@ -1,7 +1,11 @@
-use teaselchute::core::gateway::batch::{
-    Call,
-    Piece,
-    Queue, //
+use teaselchute::{
+    core::gateway::batch::{
+        Call,
+        Outcome,
+        Piece,
+        Queue, //
+    },
+    names::Name,
 };
 
 use super::{
@@ -11,11 +15,18 @@
     piece, //
 };
 
-fn results(call: &Call, prefix: &str) -> Vec<Option<teaselchute::names::Name>> {
+fn results(call: &Call, prefix: &str) -> Vec<Option<Name>> {
     let ids = 0..call.pieces.len();
     ids.map(|id| Some(format!("{prefix}{id}").into())).collect()
 }
 
+fn ran(results: &[Option<Name>]) -> Outcome<'_> {
+    Outcome::Ran {
+        results,
+        lacks_room: false,
+    }
+}
+
 #[test]
 fn next_gathers_what_waited() {
     let mut queue = Queue::default();
@@ -33,7 +44,7 @@
         None,
         "one call at a time"
     );
-    queue.finished(at(210), &STAGES, &call, Some(&results(&call, "a")));
+    queue.finished(at(210), &STAGES, &call, ran(&results(&call, "a")));
     let call = queue.next(at(210), &STAGES, &servers).expect("free again");
     assert_eq!(call.pieces.len(), 10, "a full call");
     assert_eq!(queue.len(), 5);
@@ -83,14 +94,14 @@
     };
     queue.offer(large("a"));
     let call = queue.next(at(0), &STAGES, &servers).expect("room for one");
-    queue.finished(at(210), &STAGES, &call, Some(&results(&call, "a")));
+    queue.finished(at(210), &STAGES, &call, ran(&results(&call, "a")));
     queue.offer(large("b"));
     queue.offer(piece("small", 0));
     let call = queue
         .next(at(210), &STAGES, &servers)
         .expect("room for the small one");
     assert_eq!(&*call.pieces[0].1.request, "small");
-    queue.finished(at(420), &STAGES, &call, Some(&results(&call, "s")));
+    queue.finished(at(420), &STAGES, &call, ran(&results(&call, "s")));
     assert_eq!(queue.next(at(420), &STAGES, &servers), None);
     queue.freed("a0");
     let call = queue.next(at(421), &STAGES, &servers).expect("room again");
@@ -103,14 +114,42 @@
     let servers = names(&["s1"]);
     queue.offer(piece("a", 0));
     let call = queue.next(at(0), &STAGES, &servers).expect("free");
-    queue.finished(at(210), &STAGES, &call, Some(&[None]));
-    queue.no_room(at(210), &STAGES, "s1");
+    let outcome = Outcome::Ran {
+        results: &[None],
+        lacks_room: true,
+    };
+    queue.finished(at(210), &STAGES, &call, outcome);
     queue.offer(piece("b", 0));
     assert_eq!(queue.next(at(210), &STAGES, &servers), None);
     queue.expire(at(900), &STAGES, &servers);
     assert!(queue.next(at(900), &STAGES, &servers).is_some());
 }
 
+/// The load pattern: a server is full of results that this host doesn't know of, and refuses a whole
+/// call at once. Sent there again and again, the pieces would use up all their tries in no time.
+#[test]
+fn next_pieces_without_room_go_elsewhere() {
+    let mut queue = Queue::default();
+    let servers = names(&["s1", "s2"]);
+    for request in ["a", "b", "c"] {
+        queue.offer(piece(request, 0));
+    }
+    let call = queue.next(at(0), &STAGES, &servers).expect("free");
+    let full = call.server.clone();
+    let outcome = Outcome::Ran {
+        results: &[None, None, None],
+        lacks_room: true,
+    };
+    queue.finished(at(2), &STAGES, &call, outcome);
+    for (ticket, piece) in call.pieces {
+        queue.put_back(ticket, piece);
+    }
+    let call = queue.next(at(2), &STAGES, &servers).expect("the other");
+    assert_ne!(call.server, full);
+    queue.offer(piece("d", 2));
+    assert_eq!(queue.next(at(2), &STAGES, &servers), None);
+}
+
 /// The load pattern: a burst after which most of what waits is late already.
 #[test]
 fn next_in_time_before_late() {
@@ -179,7 +218,7 @@
     let servers = names(&["s1"]);
     queue.offer(piece("a", 0));
     let call = queue.next(at(0), &STAGES, &servers).expect("free");
-    queue.finished(at(100), &STAGES, &call, None);
+    queue.finished(at(100), &STAGES, &call, Outcome::Failed);
     queue.offer(piece("b", 0));
     assert_eq!(queue.next(at(200), &STAGES, &servers), None);
     assert!(queue.next(at(1_200), &STAGES, &servers).is_some());
@@ -220,7 +259,7 @@
             if *end > now {
                 return true;
             }
-            queues[*host].finished(at(now), &STAGES, call, Some(&vec![None; call.pieces.len()]));
+            queues[*host].finished(at(now), &STAGES, call, ran(&vec![None; call.pieces.len()]));
             for (_, piece) in &call.pieces {
                 sum += now - (piece.wanted.as_ms() - 1_000);
                 count += 1;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -19,5 +19,6 @@
 mod samples;
 mod sse;
 mod state;
+mod story;
 mod time;
 mod wire;
