Ask a server that lacked room again after 100 ms, and take no try for it

Change: 100 ms, and a piece that found no room has not run, so that it takes neither a try nor a part of the retry budget. It expires like any that waits.

--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -17,8 +17,9 @@
 /// Time for which a server is left alone after a call that failed, in milliseconds.
 const AVOID_MS: u64 = 1_000;
 
-/// Time for which a server that had no room is taken to be full, in milliseconds: about two calls.
-const FOREIGN_MS: u64 = 600;
+/// Time for which a server that had no room is taken to be full, in milliseconds. It refuses at once
+/// and results are freed all the time, so asking again soon costs little.
+const FOREIGN_MS: u64 = 100;
 
 /// Part of a server's room that is planned with, in percent. Sizes of results are approximate.
 const ROOM_PERCENT: u64 = 96;
--- a/src/shell/gateway/stages/gather.rs
+++ b/src/shell/gateway/stages/gather.rs
@@ -285,8 +285,13 @@
         .borrow_mut()
         .finished(now, &stages, &call, outcome);
     for ((ticket, piece), result) in call.pieces.into_iter().zip(results) {
-        let may_retry = matches!(result, Err(Failure::Failed | Failure::NoRoom));
-        if may_retry && take_retry(gateway, gatherer, ticket) {
+        let is_again = match result {
+            // Nothing ran, and a piece that waits for too long expires.
+            Err(Failure::NoRoom) => gatherer.waiters.borrow().contains_key(&ticket),
+            Err(Failure::Failed) => take_retry(gateway, gatherer, ticket),
+            _ => false,
+        };
+        if is_again {
             gatherer.queue.borrow_mut().put_back(ticket, piece);
         } else {
             answer(gateway, gatherer, ticket, result);
