Read topics that change all the time once for a data centre with many hosts

Change: from four hosts in a data centre on, one chosen by hashing over the reachable reads, and the others ask it for what it read a moment ago. Operators' wishes are still read by each host.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -14,6 +14,7 @@
 };
 
 use super::{
+    balance,
     seal::Key,
     share, //
 };
@@ -32,6 +33,10 @@
 /// paused, with requests that it sends as it wakes.
 const SHARE_SILENCE_MS: u64 = 12_000;
 
+/// Hosts of a data centre from which on one of them reads the store for the others. With fewer, what
+/// it saves isn't worth the detour.
+const SHARED_READS_FROM: usize = 4;
+
 /// What a host says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -157,6 +162,27 @@
         })
     }
 
+    /// Returns the host that reads a topic for all of a data centre, `None` where it has so few hosts
+    /// that each reads it by itself.
+    pub fn reader(
+        &self,
+        now: Instant,
+        data_centre: &Name,
+        topic: &str,
+    ) -> Option<(Name, SocketAddr)> {
+        let near: Vec<&Heartbeat> = self
+            .reachable(now)
+            .map(|host| &host.beat)
+            .filter(|beat| beat.serving && beat.data_centre == *data_centre)
+            .collect();
+        if near.len() < SHARED_READS_FROM {
+            return None;
+        }
+        let near = near.into_iter();
+        let reader = near.max_by_key(|beat| balance::hash(&[&beat.host, topic]))?;
+        Some((reader.host.clone(), reader.peers))
+    }
+
     /// Returns the key of the host at an address, of the one heard last where it was used again.
     pub fn key_at(&self, peers: SocketAddr) -> Option<&Key> {
         let there = self
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod lookup;
 pub mod plan;
 pub mod rate;
+pub mod recent;
 pub mod seal;
 pub mod servers;
 pub mod share;
--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -54,7 +54,7 @@
 }
 
 /// The newest value of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Record {
     /// The key.
     pub key: Name,
@@ -74,10 +74,10 @@
 }
 
 /// Records that were added to a topic.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Tail {
-    /// Records in their order.
-    pub records: Vec<Record>,
+    /// Records in their order, each with its offset.
+    pub records: Vec<(u64, Record)>,
     /// Offset after the last of them.
     pub next: u64,
 }
--- a/src/shell/gateway/peers/call.rs
+++ b/src/shell/gateway/peers/call.rs
@@ -25,6 +25,7 @@
         Free,
         Known,
         Progress,
+        Recent,
         Relay,
         Relayed,
         Reply, //
@@ -32,6 +33,7 @@
 };
 use crate::{
     core::gateway::seal::Key,
+    edges::gateway::Tail,
     names::Name,
     shell::gateway::{
         Gateway,
@@ -128,6 +130,17 @@
     postcard::from_bytes(&body).map_err(malformed)
 }
 
+/// Asks a host for what it read a moment ago, `None` where that isn't known there or is old.
+pub(in crate::shell::gateway) async fn recent(
+    gateway: &Gateway,
+    address: SocketAddr,
+    recent: Recent,
+    limit_ms: u64,
+) -> Result<Option<Tail>, Error> {
+    let body = call(gateway, address, Path::Recent, &recent, limit_ms).await?;
+    postcard::from_bytes(&body).map_err(malformed)
+}
+
 /// Asks a host what it knows, while this one knows nobody's key.
 pub(super) async fn known(
     gateway: &Gateway,
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -204,6 +204,14 @@
     Failed,
 }
 
+/// Asks for what a host read of a topic a moment ago.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::shell::gateway) struct Recent {
+    pub(in crate::shell::gateway) topic: Topic,
+    /// Offset of the first record that is wanted.
+    pub(in crate::shell::gateway) from: u64,
+}
+
 /// What a host knows, told to one that starts while the store is away.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::shell::gateway) struct Known {
--- a/src/shell/gateway/peers/mod.rs
+++ b/src/shell/gateway/peers/mod.rs
@@ -22,6 +22,7 @@
 pub(super) use call::{
     Error,
     free,
+    recent,
     relay,
     run_pieces,
     tell_progress, //
@@ -32,6 +33,7 @@
     Free,
     Known,
     Progress,
+    Recent,
     Relay,
     Relayed,
     Reply, //
@@ -55,16 +57,18 @@
     Progress,
     Ping,
     Relay,
+    Recent,
     Known,
 }
 
 impl Path {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Pieces,
         Self::Free,
         Self::Progress,
         Self::Ping,
         Self::Relay,
+        Self::Recent,
         Self::Known,
     ];
 
@@ -75,6 +79,7 @@
             Self::Progress => "/v1/progress",
             Self::Ping => "/v1/ping",
             Self::Relay => "/v1/relay",
+            Self::Recent => "/v1/recent",
             Self::Known => "/v1/known",
         }
     }
--- a/src/shell/gateway/peers/serve.rs
+++ b/src/shell/gateway/peers/serve.rs
@@ -22,6 +22,7 @@
     message::{
         Ask,
         Free,
+        Recent,
         Reply, //
     },
 };
@@ -100,6 +101,10 @@
             let relay = postcard::from_bytes(body)?;
             postcard::to_allocvec(&store::relay(gateway, relay).await)
         }
+        Path::Recent => {
+            let recent: Recent = postcard::from_bytes(body)?;
+            postcard::to_allocvec(&store::recent(gateway, recent))
+        }
         // What is known is told without a seal, before it would be checked.
         Path::Ping | Path::Known => Ok(Vec::new()),
     }
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -39,6 +42,7 @@
             HEARTBEAT_MS,
             Heartbeat, //
         },
+        recent::Recent,
         seal::Key,
     },
     edges::gateway::{
@@ -52,12 +56,14 @@
 };
 
 mod apply;
+mod near;
 
 pub(super) use apply::learned;
 use apply::{
     apply,
     forget_missing, //
 };
+pub(super) use near::tell as recent;
 
 /// Longest wait of a read for the operators' next record, in milliseconds. Short, so that a
 /// connection that fell silent for good is noticed well within the time that a change may take.
@@ -112,6 +118,8 @@
     pub(super) config: RefCell<Option<Record>>,
     // When what operators want was last read.
     read: Cell<Option<Instant>>,
+    // What was read a moment ago, for hosts near by.
+    recent: RefCell<BTreeMap<Topic, Recent>>,
     // Topics that were read once.
     loaded: RefCell<BTreeSet<Topic>>,
     incarnation: Cell<u64>,
@@ -283,7 +291,7 @@
                 failures = 0;
                 from = Some(next);
                 reads += 1;
-                let pause_ms = pause_ms(topic, reads);
+                let pause_ms = pause_ms(topic, reads, near::is_reader(&gateway, topic));
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(error) => {
@@ -299,11 +307,13 @@
 }
 
 /// Returns the pause between two reads of a topic.
-fn pause_ms(topic: Topic, reads: u32) -> u64 {
+fn pause_ms(topic: Topic, reads: u32, is_reader: bool) -> u64 {
     match topic {
         Topic::Operator => 0,
         Topic::Hosts if reads <= FIRST_READS => FIRST_PAUSE_MS,
         Topic::Servers => PAUSE_MS,
+        // Others add a pause of their own.
+        Topic::Hosts if is_reader => PAUSE_MS,
         Topic::Hosts => HEARTBEAT_MS,
     }
 }
@@ -397,9 +407,17 @@
         from,
         wait_ms: WAIT_MS,
     };
-    let body = call(gateway, ask, WAIT_MS + CALL_MS).await?;
-    let tail = gateway.adapter.tail_records(from, &body)?;
-    apply(gateway, topic, tail.records, false);
+    let tail = match near::ask(gateway, topic, from).await {
+        Some(tail) => tail,
+        None => {
+            let body = call(gateway, ask, WAIT_MS + CALL_MS).await?;
+            let tail = gateway.adapter.tail_records(from, &body)?;
+            near::note(gateway, topic, from, &tail);
+            tail
+        }
+    };
+    let records = tail.records.into_iter().map(|(_, record)| record);
+    apply(gateway, topic, records.collect(), false);
     Ok(tail.next)
 }
 
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -138,3 +138,27 @@
     table.heard(at(60_000), beat("a", "r", 2), false);
     assert_eq!(table.reachable(at(60_001)).count(), 1);
 }
+
+#[test]
+fn reader_in_a_data_centre_with_many_hosts() {
+    let mut table = Table::default();
+    let reader = |table: &Table, topic: &str| {
+        let reader = table.reader(at(1), &"r".into(), topic);
+        reader.map(|(name, _)| name.to_string())
+    };
+    for host in ["a", "b", "c"] {
+        table.heard(at(0), beat(host, "r", 1), false);
+    }
+    table.heard(at(0), beat("elsewhere", "s", 1), false);
+    assert_eq!(
+        reader(&table, "servers"),
+        None,
+        "each of three reads by itself"
+    );
+    table.heard(at(0), beat("d", "r", 1), false);
+    let first = reader(&table, "servers").expect("four share");
+    table.suspect(at(1), &first.as_str().into(), true);
+    assert_eq!(reader(&table, "servers"), None, "three are left");
+    table.heard(at(0), beat("e", "r", 1), false);
+    assert_ne!(reader(&table, "servers"), Some(first));
+}
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod plan;
 mod rate;
+mod recent;
 mod seal;
 mod servers;
 mod share;
