--- a/src/bin/teaselchute/args.rs
+++ b/src/bin/teaselchute/args.rs
@@ -13,6 +13,9 @@
 /// Environment variable with the file that holds the operators' credential.
 const CREDENTIAL_VARIABLE: &str = "TEASELCHUTE_CREDENTIAL_FILE";
 
+/// Page that `report` writes where no option names one.
+const DEFAULT_PAGE: &str = "rounds.html";
+
 const BRIEF: &str = "\
 Usage: teaselchute SUBCOMMAND [OPTIONS] [ARGUMENTS]
 
@@ -27,6 +30,8 @@
   why ID --log FILE         tell a request's story from the log lines of all hosts
   hosts                     show the entry hosts
   servers                   show the backend servers
+  report FILE               draw measured days over time as a page, see --out
+  credit FILE               show what measured days lost, and to what
   digest FILE               print the digest of the credential in a file
 
 `teaselchute SUBCOMMAND --help` shows the options of a subcommand.
@@ -61,6 +66,10 @@
     Hosts,
     /// Show backend servers.
     Servers,
+    /// Draw measured days into a page.
+    Report(PathBuf, PathBuf),
+    /// Show what measured days lost.
+    Credit(PathBuf),
     /// Print the digest of a credential.
     Digest(PathBuf),
 }
@@ -114,6 +123,7 @@
         "file with log lines of one host or several, may be repeated",
         "FILE",
     );
+    parser.optopt("", "out", "page to write (else rounds.html)", "FILE");
     parser.optflag("", "json", "print JSON");
     parser.optflag("h", "help", "print this help");
     parser
@@ -140,9 +150,11 @@
     if matches.opt_present("help") {
         return Ok(Parsed::Text(usage()));
     }
+    let out = matches.opt_str("out");
+    let out = out.map_or_else(|| DEFAULT_PAGE.into(), PathBuf::from);
     let logs = matches.opt_strs("log").into_iter().map(PathBuf::from);
     let action =
-        action(name, &matches.free, logs.collect()).ok_or_else(|| wrong(name, &usage()))?;
+        action(name, &matches.free, logs.collect(), out).ok_or_else(|| wrong(name, &usage()))?;
     let mut hosts = matches.opt_strs("host");
     if hosts.is_empty() {
         let listed = std::env::var(HOSTS_VARIABLE).unwrap_or_default();
@@ -187,12 +199,14 @@
         "why" => "why ORGANISATION/ID, why ID --log FILE",
         "hosts" => "hosts",
         "servers" => "servers",
+        "report" => "report FILE",
+        "credit" => "credit FILE",
         "digest" => "digest FILE",
         _ => "SUBCOMMAND",
     }
 }
 
-fn action(name: &str, free: &[String], logs: Vec<PathBuf>) -> Option<Action> {
+fn action(name: &str, free: &[String], logs: Vec<PathBuf>, out: PathBuf) -> Option<Action> {
     let action = match (name, free) {
         ("check", [file]) => Action::Check(file.into()),
         ("try", [environment, file]) => Action::Try(environment.clone(), file.into()),
@@ -206,6 +220,8 @@
         ("why", [subject]) => Action::Why(subject.clone(), logs),
         ("hosts", []) => Action::Hosts,
         ("servers", []) => Action::Servers,
+        ("report", [file]) => Action::Report(file.into(), out),
+        ("credit", [file]) => Action::Credit(file.into()),
         ("digest", [file]) => Action::Digest(file.into()),
         _ => return None,
     };
--- a/src/bin/teaselchute/commands.rs
+++ b/src/bin/teaselchute/commands.rs
@@ -37,7 +37,7 @@
         Answer,
         Client, //
     },
-    exit,
+    exit, report,
 };
 
 /// Runs a command and returns its exit code.
@@ -45,12 +45,16 @@
     match &command.action {
         Action::Check(file) => return check(file, command.json),
         Action::Digest(file) => return digest(file),
+        Action::Report(file, out) => return report::page(file, out).map(|()| 0),
+        Action::Credit(file) => return report::credit(file).map(|()| 0),
         Action::Why(id, logs) if !logs.is_empty() => return tell(id, logs),
         _ => {}
     }
     let client = Client::open(&command).await?;
     match &command.action {
-        Action::Check(_) | Action::Digest(_) => unreachable!("done without a host"),
+        Action::Check(_) | Action::Digest(_) | Action::Report(..) | Action::Credit(_) => {
+            unreachable!("done without a host")
+        }
         Action::Try(environment, file) => try_document(&client, &command, environment, file).await,
         Action::Promote(from, to) => promote(&client, &command, from, to).await,
         Action::Diff(from, to) => diff(&client, &command, from, to).await,
--- a/src/bin/teaselchute/main.rs
+++ b/src/bin/teaselchute/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod commands;
+mod report;
 
 use std::process::ExitCode;
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,7 @@
 pub mod refusal;
 pub mod replica;
 pub mod roster;
+pub mod rounds;
 pub mod routing;
 pub mod state;
 pub mod story;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod replica;
 mod roster;
+mod rounds;
 mod routing;
 mod samples;
 mod sse;
