Let hosts without a part use servers that aren't cold and are little used

Change: where a host has no part at a server, it sends it one request a second while all hosts together, as they tell, send less than half of the limit; not to one that says that it is cold, or that came back with its data centre or anew in the last 5 s. Tests: allows_hosts_without_a_part_at_a_server_that_is_little_used, may_be_cold_after_it_came_back.

--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -138,7 +138,8 @@
 }
 
 pub(super) fn set_out(gateway: &Gateway, name: &Name, out: bool) {
-    if gateway.servers.borrow_mut().set_out(name, out) {
+    let now = gateway.now();
+    if gateway.servers.borrow_mut().set_out(now, name, out) {
         gateway.log.write(&Event::DataCentre { name, out });
     }
 }
