Give each kind of connection its part of the descriptors

Cause: callers, lookups, other hosts, readiness and metrics could each take half of all descriptors, more than there are together. Change: 50, 12, 10, 1 and 1 percent; a quarter is left for connections that the host opens.

--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -58,10 +58,6 @@
 /// Bytes that a connection buffers, at least the largest head.
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Part of the process's descriptors that callers' connections may take, in percent. Servers, the
-/// store and other hosts share the rest.
-const CALLER_PERCENT: u64 = 50;
-
 /// Time for which callers keep an answer to a lookup, in milliseconds. Short, so that a host that
 /// leaves is soon left alone.
 const KEEP_MS: u64 = 2_000;
@@ -82,6 +78,19 @@
     Metrics,
 }
 
+impl Purpose {
+    /// Returns the part of the process's descriptors that connections of a purpose may take, in percent.
+    /// A quarter is left for connections to servers, the store and other hosts.
+    fn percent(self) -> u64 {
+        match self {
+            Self::Callers => 50,
+            Self::Lookup => 12,
+            Self::Peers => 10,
+            Self::Ready | Self::Metrics => 1,
+        }
+    }
+}
+
 /// Sockets that listen.
 pub(super) struct Listeners(Vec<(Purpose, TcpListener)>);
 
@@ -114,7 +123,7 @@
 async fn accept(gateway: Rc<Gateway>, purpose: Purpose, listener: TcpListener) {
     let open = Rc::new(Cell::new(0_u64));
     let descriptors = gateway.options.borrow().process.descriptors;
-    let most = descriptors * CALLER_PERCENT / 100;
+    let most = (descriptors * purpose.percent() / 100).max(1);
     loop {
         let is_over = || {
             let left = gateway.leaving.get();
