--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -146,6 +146,18 @@
         near.count().max(1)
     }
 
+    /// Notes that a host gave no sign of life, and why that is believed.
+    fn suspect(&self, host: &Name, why: &dyn std::fmt::Display) {
+        let now = self.now();
+        if self.hosts.borrow_mut().suspect(now, host, true) {
+            self.log.write(&Event::Dependency {
+                name: host,
+                up: false,
+                why: &why.to_string(),
+            });
+        }
+    }
+
     fn region_of(&self, data_centre: &Name) -> Name {
         self.options.borrow().region_of(data_centre)
     }
--- a/src/shell/gateway/stages/mod.rs
+++ b/src/shell/gateway/stages/mod.rs
@@ -124,14 +124,7 @@
     match ask_owner(gateway, address, service, &pieces, false).await {
         Ok(ran) => (owner, ran),
         Err(error) => {
-            let now = gateway.now();
-            if gateway.hosts.borrow_mut().suspect(now, &owner, true) {
-                gateway.log.write(&Event::Dependency {
-                    name: &owner,
-                    up: false,
-                    why: &error.to_string(),
-                });
-            }
+            gateway.suspect(&owner, &error);
             (own, run_as_owner(gateway, service, pieces, true).await)
         }
     }
--- a/src/shell/gateway/store/near.rs
+++ b/src/shell/gateway/store/near.rs
@@ -11,7 +11,6 @@
     names::Name,
     shell::gateway::{
         Gateway,
-        log::Event,
         peers::{
             self,
             Recent, //
@@ -55,14 +54,7 @@
     match peers::recent(gateway, address, recent, ASK_MS).await {
         Ok(tail) => tail,
         Err(error) => {
-            let now = gateway.now();
-            if gateway.hosts.borrow_mut().suspect(now, &name, true) {
-                gateway.log.write(&Event::Dependency {
-                    name: &name,
-                    up: false,
-                    why: &error.to_string(),
-                });
-            }
+            gateway.suspect(&name, &error);
             None
         }
     }
