--- a/src/core/gateway/spill.rs
+++ b/src/core/gateway/spill.rs
@@ -1,4 +1,4 @@
-//! Which region's servers run pieces when those of the own region are behind.
+//! Which data centre's servers run pieces when those of the own one are behind.
 
 use std::{
     collections::HashMap,
@@ -10,21 +10,21 @@
     time::Instant, //
 };
 
-/// Age from which news of another region isn't used, in milliseconds. Several messages may be lost.
+/// Age from which news of another data centre isn't used, in milliseconds. Several messages may be lost.
 const STALE_MS: u64 = 800;
 
-/// Time by which another region has to be faster, in milliseconds: two ways between regions and
+/// Time by which another data centre has to be faster, in milliseconds: two ways between regions and
 /// the age of the news.
 const MARGIN_MS: u64 = 60;
 
-/// Time that results count as which have to cross regions, in milliseconds for each megabyte. A
+/// Time that results count as which have to be moved, in milliseconds for each megabyte. A
 /// megabyte costs about a tenth of what an answer in time is worth.
 const FAR_MS_PER_MB: u64 = 100;
 
 /// Bytes in a megabyte.
 const MEGABYTE: u64 = 1_000_000;
 
-/// What is known of a service's servers in another region.
+/// What is known of a service's servers in another data centre.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Far {
     /// The host that gathers its calls.
@@ -37,34 +37,34 @@
     pub heard: Instant,
 }
 
-/// How far other regions are with their pieces, by service and region.
+/// How far other data centres are with their pieces, by service and data centre.
 #[derive(Debug, Default)]
 pub struct Map(HashMap<(Name, Name), Far>);
 
-/// Pieces to be placed in a region.
+/// Pieces to be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ask {
     /// Number of pieces.
     pub pieces: usize,
     /// Size of one result, in bytes.
     pub result_bytes: u64,
-    /// Size of the results of this region that one piece works on, in bytes.
+    /// Size of the results in this data centre that one piece works on, in bytes.
     pub input_bytes: u64,
     /// Time of one piece in a call, in milliseconds.
     pub piece_ms: u64,
-    /// When they would be done in the own region, in milliseconds, `None` where it has no server.
+    /// When they would be done in the own data centre, in milliseconds, `None` where it has no server.
     pub own_done_ms: Option<u64>,
 }
 
 impl Map {
-    /// Takes news of another region.
-    pub fn heard(&mut self, service: Name, region: Name, far: Far) {
-        self.0.insert((service, region), far);
+    /// Takes news of another data centre.
+    pub fn heard(&mut self, service: Name, data_centre: Name, far: Far) {
+        self.0.insert((service, data_centre), far);
     }
 
-    /// Returns the region's owner to which pieces should go, `None` for the own region.
+    /// Returns the owner to which pieces should go, `None` for the own data centre.
     ///
-    /// The load pattern: a burst in one region, or a region with few servers of a service, while
+    /// The load pattern: a burst in one data centre, or one with few servers of a service, while
     /// others have some to spare. What is sent away counts there until the next news, so that not
     /// all of a burst goes to the same place.
     pub fn choose(&mut self, now: Instant, service: &str, ask: Ask) -> Option<SocketAddr> {
--- a/src/shell/gateway/peers/call.rs
+++ b/src/shell/gateway/peers/call.rs
@@ -108,7 +108,7 @@
     Ok(())
 }
 
-/// Tells a host how far the servers of a service are in this region.
+/// Tells a host how far the servers of a service are in this data centre.
 pub(in crate::shell::gateway) async fn tell_progress(
     gateway: &Gateway,
     address: SocketAddr,
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -38,7 +38,7 @@
     deadline_in_ms: i64,
     after_ms: u64,
     priority: u8,
-    /// Whether they come from the owner of another region, so that they go no further.
+    /// Whether they come from the owner of another data centre, so that they go no further.
     pub(in crate::shell::gateway) is_forwarded: bool,
 }
 
@@ -165,11 +165,11 @@
     pub(in crate::shell::gateway) results: Vec<Name>,
 }
 
-/// How far the servers of a service in a region are.
+/// How far the servers of a service in a data centre are.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(in crate::shell::gateway) struct Progress {
     pub(in crate::shell::gateway) service: Name,
-    pub(in crate::shell::gateway) region: Name,
+    pub(in crate::shell::gateway) data_centre: Name,
     /// The host that says so, where other hosts reach it.
     pub(in crate::shell::gateway) owner: SocketAddr,
     /// In how many milliseconds a piece that comes now would be done.
--- a/src/shell/gateway/stages/gather.rs
+++ b/src/shell/gateway/stages/gather.rs
@@ -42,6 +42,7 @@
             Role,
             Stages, //
         },
+        servers::Server,
     },
     edges::gateway::Failure,
     names::Name,
@@ -170,23 +171,35 @@
     }
 }
 
-/// Returns the servers of a service that this host uses: those of its region, if there are any.
+/// Returns the servers of a service that this host uses: those of its data centre, or else of its
+/// region, or else all.
 pub(super) fn servers(gateway: &Gateway, service: &str) -> Vec<Name> {
     let near = near_servers(gateway, service);
     if !near.is_empty() {
         return near;
     }
-    let table = gateway.servers.borrow();
-    let all = table.usable(service);
-    all.map(|server| server.entry.id.clone()).collect()
+    let in_region = servers_where(gateway, service, |server| {
+        gateway.region_of(&server.entry.data_centre) == gateway.own.region
+    });
+    if !in_region.is_empty() {
+        return in_region;
+    }
+    servers_where(gateway, service, |_| true)
 }
 
 pub(super) fn near_servers(gateway: &Gateway, service: &str) -> Vec<Name> {
+    let own = &gateway.own.data_centre;
+    servers_where(gateway, service, |server| server.entry.data_centre == *own)
+}
+
+fn servers_where(
+    gateway: &Gateway,
+    service: &str,
+    is_wanted: impl Fn(&Server) -> bool,
+) -> Vec<Name> {
     let table = gateway.servers.borrow();
-    let near = table
-        .usable(service)
-        .filter(|server| gateway.region_of(&server.entry.data_centre) == gateway.own.region);
-    near.map(|server| server.entry.id.clone()).collect()
+    let servers = table.usable(service).filter(|&server| is_wanted(server));
+    servers.map(|server| server.entry.id.clone()).collect()
 }
 
 pub(super) fn made_here(service: &Name, results: Vec<Name>) -> Made {
--- a/src/shell/gateway/stages/mod.rs
+++ b/src/shell/gateway/stages/mod.rs
@@ -51,7 +51,7 @@
 /// Time that news of progress may take, in milliseconds.
 const PROGRESS_LIMIT_MS: u64 = 400;
 
-/// Change of the expected time from which other regions hear of it, in milliseconds.
+/// Change of the expected time from which other data centres hear of it, in milliseconds.
 const NEWS_MS: u64 = 40;
 
 /// Time after which they hear of it without a change, in milliseconds.
@@ -113,9 +113,9 @@
 
 async fn run_at_owner(gateway: &Rc<Gateway>, service: &Name, pieces: Vec<Piece>) -> (Name, Ran) {
     let own = gateway.own.host.clone();
-    let region = input_region(gateway, &pieces);
-    let region = region.unwrap_or_else(|| gateway.own.region.clone());
-    let Some((owner, address)) = owner(gateway, service, &region) else {
+    let place = input_place(gateway, &pieces);
+    let place = place.unwrap_or_else(|| gateway.own.data_centre.clone());
+    let Some((owner, address)) = owner(gateway, service, &place) else {
         return (own, run_as_owner(gateway, service, pieces, true).await);
     };
     if owner == own {
@@ -130,9 +130,9 @@
     }
 }
 
-/// Returns the region in which the results lie that pieces work on, where moving them costs more
+/// Returns the data centre in which the results lie that pieces work on, where moving them costs more
 /// than asking there.
-fn input_region(gateway: &Gateway, pieces: &[Piece]) -> Option<Name> {
+fn input_place(gateway: &Gateway, pieces: &[Piece]) -> Option<Name> {
     let first = pieces.first()?;
     if first.input_bytes * (pieces.len() as u64) < HEAVY_BYTES {
         return None;
@@ -140,15 +140,15 @@
     let Input::Results(inputs) = &first.input else {
         return None;
     };
-    region_of_result(gateway, inputs.first()?)
+    place_of_result(gateway, inputs.first()?)
 }
 
-/// Returns the region of the server that holds a result.
-pub(super) fn region_of_result(gateway: &Gateway, result: &str) -> Option<Name> {
+/// Returns the data centre of the server that holds a result.
+pub(super) fn place_of_result(gateway: &Gateway, result: &str) -> Option<Name> {
     let holder = gateway.adapter.holder(result)?;
     let servers = gateway.servers.borrow();
     let server = servers.get(&servers.at(holder)?)?;
-    Some(gateway.region_of(&server.entry.data_centre))
+    Some(server.entry.data_centre.clone())
 }
 
 async fn ask_owner(
@@ -175,7 +175,7 @@
     }
 }
 
-/// Runs pieces as the host that gathers the calls of this region: here, or in another region that is
+/// Runs pieces as the host that gathers the calls of this data centre: here, or in another one that is
 /// less behind.
 pub(super) async fn run_as_owner(
     gateway: &Rc<Gateway>,
@@ -184,7 +184,7 @@
     may_forward: bool,
 ) -> Ran {
     let far = if may_forward {
-        choose_region(gateway, service, &pieces)
+        choose_place(gateway, service, &pieces)
     } else {
         None
     };
@@ -197,7 +197,7 @@
     Ok((None, results))
 }
 
-fn choose_region(gateway: &Gateway, service: &Name, pieces: &[Piece]) -> Option<SocketAddr> {
+fn choose_place(gateway: &Gateway, service: &Name, pieces: &[Piece]) -> Option<SocketAddr> {
     let first = pieces.first()?;
     let stages = stages_of(gateway, service)?;
     let now = gateway.now();
@@ -220,7 +220,7 @@
     gateway.far.borrow_mut().choose(now, service, ask)
 }
 
-/// Takes news of another region.
+/// Takes news of another data centre.
 pub(super) fn heard_progress(gateway: &Gateway, progress: peers::Progress) {
     let far = spill::Far {
         owner: progress.owner,
@@ -229,21 +229,21 @@
         heard: gateway.now(),
     };
     let mut map = gateway.far.borrow_mut();
-    map.heard(progress.service, progress.region, far);
+    map.heard(progress.service, progress.data_centre, far);
 }
 
-/// Returns the host that gathers calls of a service in a region.
-fn owner(gateway: &Gateway, service: &Name, region: &Name) -> Option<(Name, SocketAddr)> {
+/// Returns the host that gathers calls of a service in a data centre.
+fn owner(gateway: &Gateway, service: &Name, data_centre: &Name) -> Option<(Name, SocketAddr)> {
     let hosts = gateway.hosts.borrow();
     let near = hosts
         .reachable(gateway.now())
-        .filter(|host| host.beat.serving && host.beat.region == *region);
+        .filter(|host| host.beat.serving && host.beat.data_centre == *data_centre);
     let owner = near.max_by_key(|host| balance::hash(&[&host.beat.host, service]))?;
     Some((owner.beat.host.clone(), owner.beat.peers))
 }
 
-/// Does what falls due with time: sends what became free to be sent, and tells other regions how far
-/// this one is.
+/// Does what falls due with time: sends what became free to be sent, and tells other data centres how
+/// far this one is.
 pub(super) fn tick(gateway: &Rc<Gateway>) {
     let gatherers: Vec<_> = gateway.queues.borrow().values().cloned().collect();
     for gatherer in gatherers {
@@ -261,10 +261,11 @@
     }
 }
 
-/// Tells the owners of other regions how far this one is, if this host is its owner.
+/// Tells the owners of other data centres how far this one is, if this host is its owner.
 fn tell_progress(gateway: &Rc<Gateway>, service: &Name, stages: &Stages) {
     let own = &gateway.own;
-    let is_owner = owner(gateway, service, &own.region).is_some_and(|(name, _)| name == own.host);
+    let is_owner =
+        owner(gateway, service, &own.data_centre).is_some_and(|(name, _)| name == own.host);
     if !is_owner {
         return;
     }
@@ -277,7 +278,7 @@
     };
     let progress = peers::Progress {
         service: service.clone(),
-        region: own.region.clone(),
+        data_centre: own.data_centre.clone(),
         owner: gateway.options.borrow().listen.peers,
         done_ms,
         room_bytes: queue.room_bytes(stages, &servers),
@@ -286,12 +287,9 @@
     if !gatherer.is_news(now, &progress) {
         return;
     }
-    let regions: std::collections::BTreeSet<Name> = {
-        let options = gateway.options.borrow();
-        options.regions.values().cloned().collect()
-    };
-    for region in regions.iter().filter(|region| **region != own.region) {
-        let Some((_, address)) = owner(gateway, service, region) else {
+    let places: Vec<Name> = gateway.options.borrow().regions.keys().cloned().collect();
+    for place in places.iter().filter(|place| **place != own.data_centre) {
+        let Some((_, address)) = owner(gateway, service, place) else {
             continue;
         };
         let gateway = gateway.clone();
@@ -304,7 +302,7 @@
 }
 
 impl Gatherer {
-    /// Returns whether other regions should hear of this progress, and notes that they did.
+    /// Returns whether other data centres should hear of this progress, and notes that they did.
     fn is_news(&self, now: Instant, progress: &peers::Progress) -> bool {
         let mut told = self.told.borrow_mut();
         if let Some((at, before)) = &*told {
