Keep to the part of a limit that a host has, cold or not

The sum over all hosts keeps to the limit whatever hosts know of each other, and what a host keeps to a few servers finds their caches warm.

--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -132,9 +132,7 @@
             }
             any = true;
             let id = &server.entry.id;
-            let may_be_cold = server.may_be_cold(now);
-            let per_s = ask.cold_per_s;
-            if !self.meter.allows(now, id, per_s, ask.group, may_be_cold) {
+            if !self.meter.allows(now, id, ask.cold_per_s, ask.group) {
                 continue;
             }
             let load = self.loads.get(id).copied().unwrap_or_default();
@@ -201,7 +199,6 @@
 
     /// Notes that another host placed parts at a server.
     pub fn placed_elsewhere(&mut self, now: Instant, server: &Name, parts: &[cache::Key]) {
-        self.meter.sent_elsewhere(now, server);
         for &part in parts {
             self.cache.placed(now, part, server);
         }
--- a/src/core/gateway/rate.rs
+++ b/src/core/gateway/rate.rs
@@ -14,22 +14,13 @@
 /// Span in which requests are counted, in milliseconds.
 const SPAN_MS: u64 = 1_000;
 
-/// Part of a limit up to which hosts without a part of their own use a server that isn't cold, as a
-/// divisor. News of what others send is a tenth of a second old.
-const SPARE_DIVISOR: f64 = 2.0;
-
 /// Requests that were sent to each server within the last second.
 ///
 /// Any server may be cold without anyone knowing yet, so the bound holds for all of them at all
 /// times. The pattern that it answers: a data centre comes back and every host sends there at once.
-///
-/// Where there are more hosts than requests, most have no part at a server. As long as nothing says
-/// that it may be cold, they send it one request a second while all together send few.
 #[derive(Debug, Default)]
 pub struct Meter {
     sent: HashMap<Name, VecDeque<Instant>>,
-    // By other hosts, as far as they told.
-    elsewhere: HashMap<Name, VecDeque<Instant>>,
 }
 
 impl Meter {
@@ -39,26 +30,16 @@
         now: Instant,
         server: &Name,
         per_s: f64,
-        group: &share::Group,
-        may_be_cold: bool,
+        group: &share::Group, //
     ) -> bool {
         if per_s <= 0.0 {
             return true;
         }
-        let own = count(now, &mut self.sent, server);
-        let part = group.part(per_s as u64, server);
-        if part > 0 || may_be_cold || own > 0 {
-            return own < part;
-        }
-        let all = own + count(now, &mut self.elsewhere, server);
-        (all as f64) < per_s / SPARE_DIVISOR
-    }
-
-    /// Counts a request that another host sent.
-    pub fn sent_elsewhere(&mut self, now: Instant, server: &Name) {
-        let sent = self.elsewhere.entry(server.clone()).or_default();
-        forget_old(now, sent);
-        sent.push_back(now);
+        let sent = self.sent.get_mut(server).map_or(0, |sent| {
+            forget_old(now, sent);
+            sent.len()
+        });
+        (sent as u64) < group.part(per_s as u64, server)
     }
 
     /// Counts a request.
@@ -76,17 +57,9 @@
     /// Forgets a server that is gone.
     pub fn forget(&mut self, server: &str) {
         self.sent.remove(server);
-        self.elsewhere.remove(server);
     }
 }
 
-fn count(now: Instant, sent: &mut HashMap<Name, VecDeque<Instant>>, server: &Name) -> u64 {
-    sent.get_mut(server).map_or(0, |sent| {
-        forget_old(now, sent);
-        sent.len() as u64
-    })
-}
-
 fn forget_old(now: Instant, sent: &mut VecDeque<Instant>) {
     while sent.front().is_some_and(|&at| now.since_ms(at) >= SPAN_MS) {
         sent.pop_front();
--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -22,10 +22,6 @@
 /// milliseconds. Servers that live are back about two seconds after the register is.
 const RETURN_MS: u64 = 2_000;
 
-/// Time for which a server may be cold after it or its data centre came back, in milliseconds: it says
-/// so in its next entry, which is read two seconds later at most, and is cold for about three.
-const SETTLE_MS: u64 = 5_000;
-
 /// A backend server as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -56,18 +52,9 @@
     pub heard: Instant,
     /// Until when it is cold.
     pub cold_until: Instant,
-    /// Until when it may be cold without having said so.
-    settles: Instant,
     vanished: Option<Instant>,
 }
 
-impl Server {
-    /// Returns whether it may be cold: it says so, or came back a moment ago.
-    pub fn may_be_cold(&self, now: Instant) -> bool {
-        now < self.cold_until.max(self.settles)
-    }
-}
-
 /// What changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -106,18 +93,12 @@
             return self.servers.remove(id).map(|_| Change::Left(id.clone()));
         };
         let cold_until = now.after_ms(entry.cold_ms);
-        let same = self
-            .servers
-            .get(id)
-            .filter(|old| old.entry.born == entry.born);
-        let settles = same.map_or(now.after_ms(SETTLE_MS), |old| old.settles);
         let old = self.servers.insert(
             id.clone(),
             Server {
                 entry: entry.clone(),
                 heard: now,
                 cold_until,
-                settles,
                 vanished: None,
             },
         );
@@ -162,16 +143,12 @@
     }
 
     /// Takes a data centre out, or back in.
-    pub fn set_out(&mut self, now: Instant, data_centre: &Name, out: bool) -> bool {
+    pub fn set_out(&mut self, data_centre: &Name, out: bool) -> bool {
         if out {
-            return self.out.insert(data_centre.clone());
-        }
-        let is_back = self.out.remove(data_centre);
-        let servers = self.servers.values_mut();
-        for server in servers.filter(|server| is_back && server.entry.data_centre == *data_centre) {
-            server.settles = now.after_ms(SETTLE_MS);
+            self.out.insert(data_centre.clone())
+        } else {
+            self.out.remove(data_centre)
         }
-        is_back
     }
 
     /// Returns the data centres that are out.
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -138,8 +138,7 @@
 }
 
 pub(super) fn set_out(gateway: &Gateway, name: &Name, out: bool) {
-    let now = gateway.now();
-    if gateway.servers.borrow_mut().set_out(now, name, out) {
+    if gateway.servers.borrow_mut().set_out(name, out) {
         gateway.log.write(&Event::DataCentre { name, out });
     }
 }
--- a/tests/core/gateway/rate.rs
+++ b/tests/core/gateway/rate.rs
@@ -20,7 +20,7 @@
     let mut sent: Vec<u64> = Vec::new();
     for now in 0..5_000 {
         for (meter, group) in &mut meters {
-            if meter.allows(at(now), &server, 25.5, group, true) {
+            if meter.allows(at(now), &server, 25.5, group) {
                 meter.sent(at(now), &server);
                 sent.push(now);
             }
@@ -37,7 +37,7 @@
 fn allows_all_without_a_limit() {
     let mut meter = Meter::default();
     for _ in 0..1_000 {
-        assert!(meter.allows(at(0), &"s".into(), 0.0, &group("a", &["b"]), true));
+        assert!(meter.allows(at(0), &"s".into(), 0.0, &group("a", &["b"])));
         meter.sent(at(0), &"s".into());
     }
 }
@@ -51,34 +51,3 @@
     }
     assert_eq!(meter.remembered("s"), 1_000);
 }
-
-/// The load pattern: more hosts than requests that a cold server takes, and a burst that needs all
-/// servers while none is cold.
-#[test]
-fn allows_hosts_without_a_part_at_a_server_that_is_little_used() {
-    let hosts: Vec<String> = (0..77).map(|i| format!("host-{i}")).collect();
-    let hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
-    let server = "s".into();
-    let without = |host: &&&str| group(host, &hosts).part(19, "s") == 0;
-    let own = hosts.iter().find(without).expect("19 of 77 have a part");
-    let group = group(own, &hosts);
-    let mut meter = Meter::default();
-    assert!(
-        !meter.allows(at(0), &server, 19.5, &group, true),
-        "it may be cold"
-    );
-    assert!(meter.allows(at(0), &server, 19.5, &group, false));
-    meter.sent(at(0), &server);
-    assert!(
-        !meter.allows(at(999), &server, 19.5, &group, false),
-        "one a second"
-    );
-    for ms in 0..10 {
-        meter.sent_elsewhere(at(1_000 + ms), &server);
-    }
-    assert!(
-        !meter.allows(at(1_100), &server, 19.5, &group, false),
-        "others use it"
-    );
-    assert!(meter.allows(at(2_100), &server, 19.5, &group, false));
-}
--- a/tests/core/gateway/servers.rs
+++ b/tests/core/gateway/servers.rs
@@ -68,33 +68,9 @@
     let mut table = Table::default();
     table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
     table.update(at(0), &"t".into(), Some(entry("t", "llm", "b")), false);
-    assert!(table.set_out(at(1), &"a".into(), true));
-    assert!(!table.set_out(at(1), &"a".into(), true));
+    assert!(table.set_out(&"a".into(), true));
+    assert!(!table.set_out(&"a".into(), true));
     assert_eq!(usable(&table), ["t"]);
-    table.set_out(at(20_000), &"a".into(), false);
+    table.set_out(&"a".into(), false);
     assert_eq!(usable(&table), ["s", "t"]);
 }
-
-#[test]
-fn may_be_cold_after_it_came_back() {
-    let mut table = Table::default();
-    let update = |table: &mut Table, ms: u64| {
-        table.update(at(ms), &"s".into(), Some(entry("s", "llm", "a")), false);
-    };
-    let may_be_cold = |table: &Table, ms: u64| {
-        table
-            .get("s")
-            .is_some_and(|server| server.may_be_cold(at(ms)))
-    };
-    update(&mut table, 0);
-    assert!(may_be_cold(&table, 4_999), "it joined a moment ago");
-    update(&mut table, 6_000);
-    assert!(!may_be_cold(&table, 6_000));
-    table.set_out(at(10_000), &"a".into(), true);
-    table.set_out(at(20_000), &"a".into(), false);
-    assert!(may_be_cold(&table, 20_001), "its data centre came back");
-    let mut cold = entry("s", "llm", "a");
-    cold.cold_ms = 3_000;
-    table.update(at(30_000), &"s".into(), Some(cold), false);
-    assert!(may_be_cold(&table, 32_999), "it says so");
-}
