Take callers once the host is ready, or half a second after its start

Change: callers' connections wait in the kernel until the host is ready, 0.5 s at most. Tests: caller_that_comes_before_the_host_is_ready_is_served (fails without the change), caller_that_comes_while_nothing_is_known_is_told_so.

--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -65,9 +65,16 @@
 /// Pause after a connection can't be accepted, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
+/// Time after the start for which callers wait to be taken until the host is ready, in milliseconds.
+/// Reading the store takes about a tenth of a second, and callers wait for a second to be read.
+const FIRST_MS: u64 = 500;
+
 /// Time after which a listener looks whether the host has left, in milliseconds.
 const ACCEPT_WAIT_MS: u64 = 200;
 
+/// Pause before it is looked again whether the host is ready, in milliseconds.
+const READY_PAUSE_MS: u64 = 10;
+
 /// What a listener is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Purpose {
@@ -120,7 +127,18 @@
     }
 }
 
+/// Waits until the host can serve callers, or has to tell them that it can't.
+async fn wait_until_ready(gateway: &Gateway) {
+    let last = gateway.now().after_ms(FIRST_MS);
+    while !gateway.is_ready() && gateway.now() < last {
+        tokio::time::sleep(Duration::from_millis(READY_PAUSE_MS)).await;
+    }
+}
+
 async fn accept(gateway: Rc<Gateway>, purpose: Purpose, listener: TcpListener) {
+    if purpose == Purpose::Callers {
+        wait_until_ready(&gateway).await;
+    }
     let open = Rc::new(Cell::new(0_u64));
     let descriptors = gateway.options.borrow().process.descriptors;
     let most = (descriptors * purpose.percent() / 100).max(1);
