--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -90,9 +90,10 @@
     /// A quarter is left for connections to servers, the store and other hosts.
     fn percent(self) -> u64 {
         match self {
-            Self::Callers => 50,
-            Self::Lookup => 12,
-            Self::Peers => 10,
+            Self::Callers => 40,
+            Self::Lookup => 8,
+            // The host that gathers pieces for a large data centre has a call of each of its requests.
+            Self::Peers => 25,
             Self::Ready | Self::Metrics => 1,
         }
     }
