--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod binaries;
 mod callers;
 mod failure;
+mod files;
 mod hostile;
 mod operators;
 mod outage;
