Read answers whole in one place; drop what is decoded and not used

Sending a request, reading the whole answer and giving the connection back stood four times: for the store, other hosts, calls of stages and freed results. Pool::exchange serves all, and upstream::request writes a call for two of them. An answer that breaks off is logged as 'lost: answer broke off' for all. What another host knows holds the operators' record itself. The hosts that share limits are counted once for a choice of a server. run_at_owner falls back in one place. A server's waiting calls and an engine's slots and memory were decoded for nobody. Behaviour is as before but for that text in the log.

--- a/src/core/gateway/config.rs
+++ b/src/core/gateway/config.rs
@@ -109,12 +109,7 @@
     /// Plain requests only.
     Plain,
     /// A model engine.
-    Engine {
-        /// Requests that run at once.
-        slots: u32,
-        /// Memory for tokens.
-        memory_tokens: u64,
-    },
+    Engine,
     /// Runs pieces of stages in batches.
     Stages(Stages),
 }
@@ -124,8 +119,6 @@
 pub struct Stages {
     /// Calls in progress at once.
     pub slots: u32,
-    /// Calls that may wait at the server.
-    pub waiting: u32,
     /// Pieces in one call.
     pub batch: usize,
     /// Time of a call, in milliseconds.
--- a/src/shell/gateway/forward/place.rs
+++ b/src/shell/gateway/forward/place.rs
@@ -74,10 +74,9 @@
 }
 
 impl Flight {
-    /// Returns the connections that this host may have open to a server of the request's service.
-    pub(super) fn connections(&self) -> usize {
+    /// Returns the connections that one of `hosts` may have open to a server of the request's service.
+    pub(super) fn connections(&self, hosts: usize) -> usize {
         let service = self.config.services.get(&self.service);
-        let hosts = self.gateway.sharers().size();
         service.map_or(upstream::ANY_NUMBER, |service| {
             service.connections_for(hosts)
         })
@@ -120,7 +119,7 @@
                 tried: &tried,
                 cold_per_s: cold_per_s * factor,
                 group: &group,
-                most_running: u32::try_from(self.connections()).unwrap_or(u32::MAX),
+                most_running: u32::try_from(self.connections(group.size())).unwrap_or(u32::MAX),
                 near_hosts: self.gateway.near_hosts(),
             };
             let placed = self.gateway.balancer.borrow_mut().place(
--- a/src/shell/gateway/forward/prepare.rs
+++ b/src/shell/gateway/forward/prepare.rs
@@ -139,7 +139,7 @@
                 .get(&self.route.stages[before].service)?;
             match service.role {
                 Role::Stages(stages) => Some(stages.keep_ms),
-                Role::Plain | Role::Engine { .. } => None,
+                Role::Plain | Role::Engine => None,
             }
         };
         let keep_ms = self.route.stages[stage].after.iter().filter_map(kept_ms);
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -104,12 +104,19 @@
             let now = self.gateway.now();
             self.gateway.budget.borrow_mut().first(now, &self.service);
         }
+        let hosts = self.gateway.sharers().size();
         // Until the answer says otherwise, and also if nobody waits for it any more.
         let before = self.may_have_run.replace(true);
         let sent = self
             .gateway
             .pool
-            .send(&server, entry.address, request, reuse, self.connections())
+            .send(
+                &server,
+                entry.address,
+                request,
+                reuse,
+                self.connections(hosts),
+            )
             .await;
         let (response, lease) = match sent {
             Ok(sent) => sent,
--- a/src/shell/gateway/peers/call.rs
+++ b/src/shell/gateway/peers/call.rs
@@ -6,16 +6,8 @@
 };
 
 use bytes::Bytes;
-use http::{
-    Request,
-    Response, //
-};
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
-use hyper::body::Incoming;
+use http::Request;
+use http_body_util::Full;
 use serde::Serialize;
 
 use super::{
@@ -35,14 +27,7 @@
     core::gateway::seal::Key,
     edges::gateway::Tail,
     names::Name,
-    shell::gateway::{
-        Gateway,
-        upstream::{
-            self,
-            ANY_NUMBER,
-            Reuse, //
-        },
-    },
+    shell::gateway::{Gateway, upstream},
 };
 
 /// Time after which a host that hasn't answered is asked whether it lives, in milliseconds. A call
@@ -187,17 +172,16 @@
         .body(Full::new(Bytes::from(body)))
         .map_err(malformed)?;
     let peer: Name = format!("peer {address}").into();
-    let (response, lease) = gateway
+    let response = gateway
         .pool
-        .send(&peer, address, request, Reuse::Any, ANY_NUMBER)
+        .exchange(&peer, address, request, MAX_BODY_BYTES)
         .await?;
-    let status = response.status();
-    let answered = super::read_seal(response.headers());
-    let body = collect(response).await?;
-    lease.finish();
-    if !status.is_success() {
+    if !response.status().is_success() {
+        let status = response.status();
         return Err(Error::Malformed(format!("status {status}")));
     }
+    let answered = super::read_seal(response.headers());
+    let body = response.into_body();
     if let (Some(key), Some(seal)) = (key, seal)
         && answered != Some(super::seal_answer(key, &seal, &body))
     {
@@ -205,8 +189,3 @@
     }
     Ok(body)
 }
-
-async fn collect(response: Response<Incoming>) -> Result<Bytes, Error> {
-    let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
-    Ok(body.await.map_err(malformed)?.to_bytes())
-}
--- a/src/shell/gateway/peers/learn.rs
+++ b/src/shell/gateway/peers/learn.rs
@@ -108,8 +108,7 @@
     };
     Some(Known {
         read_ms: gateway.store.read_ms(now),
-        config_key: config.key,
-        config: config.value?.to_vec(),
+        config,
         out: servers.out().iter().cloned().collect(),
         servers: servers.entries(now),
         hosts: hosts
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use serde::{
     Deserialize,
     Serialize, //
@@ -16,6 +17,7 @@
     },
     edges::gateway::{
         Failure,
+        Record,
         Topic, //
     },
     names::Name,
@@ -197,7 +199,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::shell::gateway) enum Relayed {
     /// The store's answer.
-    Answer(Vec<u8>),
+    Answer(Bytes),
     /// The records aren't kept any more.
     Gone,
     /// The store gave no answer here either.
@@ -217,10 +219,8 @@
 pub(in crate::shell::gateway) struct Known {
     /// Time since the store was last read, in milliseconds.
     pub(in crate::shell::gateway) read_ms: u64,
-    /// Key of the operators' record with the configuration.
-    pub(in crate::shell::gateway) config_key: Name,
-    /// That record, as the store holds it.
-    pub(in crate::shell::gateway) config: Vec<u8>,
+    /// The operators' record with the configuration, as the store holds it.
+    pub(in crate::shell::gateway) config: Record,
     /// Data centres that get no new work.
     pub(in crate::shell::gateway) out: Vec<Name>,
     /// Backend servers.
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -12,21 +12,11 @@
     FuturesUnordered,
     StreamExt, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 
 use crate::names::Name;
 use crate::shell::gateway::{
     Gateway,
-    peers::{
-        self, //
-    },
-    upstream::{
-        ANY_NUMBER,
-        Reuse, //
-    },
+    peers, //
 };
 
 use super::{
@@ -124,17 +114,9 @@
         return;
     };
     let limit = Duration::from_millis(FREE_LIMIT_MS);
-    let exchange = async {
-        let sent = gateway
-            .pool
-            .send(&server, holder, request, Reuse::Any, ANY_NUMBER)
-            .await;
-        let Ok((response, lease)) = sent else { return };
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        if body.collect().await.is_ok() {
-            lease.finish();
-        }
-    };
+    let exchange = gateway
+        .pool
+        .exchange(&server, holder, request, MAX_ANSWER_BYTES);
     // The server drops results by itself after a while, so a failure costs only their room.
     let _ = tokio::time::timeout(limit, exchange).await;
 }
--- a/src/shell/gateway/stages/gather.rs
+++ b/src/shell/gateway/stages/gather.rs
@@ -9,25 +9,19 @@
 };
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
+use http::{
+    HeaderValue,
+    Request, //
 };
+use http_body_util::Full;
 use opentelemetry::KeyValue;
 use tokio::sync::oneshot;
 
 use crate::shell::gateway::{
     Gateway,
     log::Event,
-    peers::{
-        self, //
-    },
-    upstream::{
-        ANY_NUMBER,
-        Reuse, //
-    },
+    peers,
+    upstream, //
 };
 use crate::{
     core::gateway::{
@@ -44,7 +38,10 @@
         },
         servers::Server,
     },
-    edges::gateway::Failure,
+    edges::{
+        self,
+        gateway::Failure, //
+    },
     names::Name,
     time::Instant,
 };
@@ -105,7 +102,7 @@
 pub(super) fn stages_of(gateway: &Gateway, service: &str) -> Option<Stages> {
     match gateway.config()?.services.get(service)?.role {
         Role::Stages(stages) => Some(stages),
-        Role::Plain | Role::Engine { .. } => None,
+        Role::Plain | Role::Engine => None,
     }
 }
 
@@ -354,25 +351,16 @@
     let Some(request) = request else {
         return End::NotRun("no request");
     };
-    let sent = gateway
+    let answer = gateway
         .pool
-        .send(&call.server, address, request, Reuse::Any, ANY_NUMBER)
+        .exchange(&call.server, address, request, MAX_ANSWER_BYTES)
         .await;
-    let (response, lease) = match sent {
-        Ok(sent) => sent,
+    let answer = match answer {
+        Ok(answer) => answer,
         Err(error) => return End::Lost(error.to_string()),
     };
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return End::Lost(error.to_string()),
-    };
-    lease.finish();
-    match status {
-        200 => match gateway.adapter.piece_results(&body) {
+    match answer.status().as_u16() {
+        200 => match gateway.adapter.piece_results(answer.body()) {
             Ok(results) if results.len() == call.pieces.len() => End::Results(results),
             Ok(results) => End::Lost(format!("{} results", results.len())),
             Err(error) => End::Lost(error.to_string()),
@@ -383,20 +371,16 @@
     }
 }
 
+/// Writes a call to a server, and names the server that it is for.
 pub(super) fn request(
     gateway: &Gateway,
     server: &Name,
     address: SocketAddr,
-    call: crate::edges::gateway::Call,
+    call: edges::gateway::Call,
 ) -> Option<Request<Full<Bytes>>> {
-    let headers = gateway.adapter.headers();
-    let mut request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(http::header::HOST, address.to_string())
-        .header(&headers.expected_server, server.as_str());
-    if let Some(kind) = call.content_type {
-        request = request.header(http::header::CONTENT_TYPE, kind);
-    }
-    request.body(Full::new(call.body)).ok()
+    let mut request = upstream::request(address, call).ok()?;
+    let expected = &gateway.adapter.headers().expected_server;
+    let server = HeaderValue::from_str(server).ok()?;
+    request.headers_mut().insert(expected, server);
+    Some(request)
 }
--- a/src/shell/gateway/stages/mod.rs
+++ b/src/shell/gateway/stages/mod.rs
@@ -115,19 +115,14 @@
     let own = gateway.own.host.clone();
     let place = input_place(gateway, &pieces);
     let place = place.unwrap_or_else(|| gateway.own.data_centre.clone());
-    let Some((owner, address)) = owner(gateway, service, &place) else {
-        return (own, run_as_owner(gateway, service, pieces, true).await);
-    };
-    if owner == own {
-        return (own, run_as_owner(gateway, service, pieces, true).await);
-    }
-    match ask_owner(gateway, address, service, &pieces, false).await {
-        Ok(ran) => (owner, ran),
-        Err(error) => {
-            gateway.suspect(&owner, &error);
-            (own, run_as_owner(gateway, service, pieces, true).await)
+    let owner = owner(gateway, service, &place).filter(|(owner, _)| *owner != own);
+    if let Some((owner, address)) = owner {
+        match ask_owner(gateway, address, service, &pieces, false).await {
+            Ok(ran) => return (owner, ran),
+            Err(error) => gateway.suspect(&owner, &error),
         }
     }
+    (own, run_as_owner(gateway, service, pieces, true).await)
 }
 
 /// Returns the data centre in which the results lie that pieces work on, where moving them costs more
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -36,13 +36,7 @@
     let now = gateway.now();
     let state = &gateway.store;
     if !state.has_read(Topic::Operator) {
-        apply_wish(
-            gateway,
-            &Record {
-                key: known.config_key,
-                value: Some(known.config.into()),
-            },
-        );
+        apply_wish(gateway, &known.config);
         let out = gateway.servers.borrow().out().clone();
         for name in out.iter().filter(|name| !known.out.contains(name)) {
             set_out(gateway, name, false);
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -15,12 +15,6 @@
 };
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
 use opentelemetry::KeyValue;
 
 use crate::shell::gateway::{
@@ -31,10 +25,7 @@
         Relay,
         Relayed, //
     },
-    upstream::{
-        ANY_NUMBER,
-        Reuse, //
-    },
+    upstream, //
 };
 use crate::{
     core::gateway::{
@@ -152,13 +143,13 @@
 #[derive(Debug, thiserror::Error)]
 enum Error {
     #[error("{0}")]
-    Upstream(#[from] super::upstream::Error),
+    Upstream(#[from] upstream::Error),
     #[error("no answer within {0} ms")]
     Silent(u64),
     #[error("status {0}")]
     Status(u16),
-    #[error("answer broke off: {0}")]
-    Body(String),
+    #[error("call can't be written: {0}")]
+    Call(String),
     #[error("{0}")]
     Malformed(#[from] crate::edges::gateway::Error),
 }
@@ -184,7 +175,7 @@
     }
     for address in relays(gateway) {
         match peers::relay(gateway, address, &relay, limit_ms).await {
-            Ok(Relayed::Answer(body)) => return Ok(body.into()),
+            Ok(Relayed::Answer(body)) => return Ok(body),
             Ok(Relayed::Gone) => return Err(Error::Status(GONE)),
             // The first failure is told: it is this host's own.
             Ok(Relayed::Failed) | Err(_) => {}
@@ -218,7 +209,7 @@
         Relay::Tail { wait_ms, .. } => (*wait_ms).min(WAIT_MS) + CALL_MS,
     };
     match call_directly(gateway, &relay, limit_ms).await {
-        Ok(body) => Relayed::Answer(body.to_vec()),
+        Ok(body) => Relayed::Answer(body),
         Err(Error::Status(GONE)) => Relayed::Gone,
         Err(_) => Relayed::Failed,
     }
@@ -235,7 +226,7 @@
         } => adapter.tail(*topic, *from, (*wait_ms).min(WAIT_MS)),
         Relay::Beat(beat) => {
             let value = postcard::to_allocvec(beat);
-            let value = value.map_err(|error| Error::Body(error.to_string()))?;
+            let value = value.map_err(|error| Error::Call(error.to_string()))?;
             adapter.put(Topic::Hosts, &beat.host, &value)
         }
     };
@@ -249,31 +240,16 @@
 }
 
 async fn exchange(gateway: &Gateway, address: SocketAddr, call: Call) -> Result<Bytes, Error> {
-    let mut request = Request::builder()
-        .method(call.method)
-        .uri(call.path)
-        .header(http::header::HOST, address.to_string());
-    if let Some(kind) = call.content_type {
-        request = request.header(http::header::CONTENT_TYPE, kind);
-    }
-    let request = request
-        .body(Full::new(call.body))
-        .map_err(|error| Error::Body(error.to_string()))?;
-    let (response, lease) = gateway
+    let request = upstream::request(address, call);
+    let request = request.map_err(|error| Error::Call(error.to_string()))?;
+    let response = gateway
         .pool
-        .send(&PEER.into(), address, request, Reuse::Any, ANY_NUMBER)
+        .exchange(&PEER.into(), address, request, MAX_ANSWER_BYTES)
         .await?;
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|error| Error::Body(error.to_string()))?
-        .to_bytes();
-    lease.finish();
-    if status != 200 {
-        return Err(Error::Status(status));
+    match response.status().as_u16() {
+        200 => Ok(response.into_body()),
+        status => Err(Error::Status(status)),
     }
-    Ok(body)
 }
 
 async fn follow(gateway: Rc<Gateway>, topic: Topic) {
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -13,7 +13,11 @@
     Request,
     Response, //
 };
-use http_body_util::Full;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
 use hyper::{
     body::Incoming,
     client::conn::http1::{
@@ -29,6 +33,7 @@
     net, //
 };
 use crate::{
+    edges::gateway::Call,
     names::Name,
     time::Instant, //
 };
@@ -42,7 +47,8 @@
 /// Time by which a connection is given up before its peer would close it, in milliseconds.
 const IDLE_MARGIN_MS: u64 = 800;
 
-/// No limit on connections to a peer: the store and other hosts have none of their own.
+/// No limit on connections to a peer: the store and other hosts have none of their own, and a server of
+/// stages gets one call at a time.
 pub const ANY_NUMBER: usize = usize::MAX;
 
 /// Idle connections kept for one peer.
@@ -286,6 +292,29 @@
         Ok((sender, task.abort_handle()))
     }
 
+    /// Sends a request that may be repeated to a peer without a limit on connections, and reads the whole
+    /// answer, of `most_bytes` at most.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`], also where the answer breaks off or is larger.
+    pub async fn exchange(
+        self: &Rc<Self>,
+        peer: &Name,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        most_bytes: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        let (response, lease) = self
+            .send(peer, address, request, Reuse::Any, ANY_NUMBER)
+            .await?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, most_bytes).collect().await;
+        let body = body.map_err(|error| Error::Lost(format!("answer broke off: {error}")))?;
+        lease.finish();
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+
     /// Sends a request and returns the head of its answer. Idle connections to the peer are closed
     /// where more than `most` would be open.
     ///
@@ -332,6 +361,18 @@
     }
 }
 
+/// Writes a call as a request to an address.
+pub fn request(address: SocketAddr, call: Call) -> http::Result<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(http::header::HOST, address.to_string());
+    if let Some(kind) = call.content_type {
+        request = request.header(http::header::CONTENT_TYPE, kind);
+    }
+    request.body(Full::new(call.body))
+}
+
 fn keep_ms(response: &Response<Incoming>) -> u64 {
     let header = |name: http::HeaderName| {
         let value = response.headers().get(name)?;
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -48,7 +48,6 @@
 /// Calls take 200 ms and 10 ms a piece, 10 pieces at most, with room for 100 results of 10 bytes.
 pub const STAGES: Stages = Stages {
     slots: 1,
-    waiting: 2,
     batch: 10,
     call_ms: 200.0,
     piece_ms: 10.0,
