Share calls to the store among the hosts of a data centre

Cause: each host polled for operators' records and wrote its own heartbeat.

Change: one host of a data centre reads operators' records too, and answers the others from memory as soon as there is one. A host that gets no answer from either turns to the store itself. The pauses at the start are longer.

Ruled out: fewer heartbeats, which would detect dead hosts later.

--- a/src/core/gateway/recent.rs
+++ b/src/core/gateway/recent.rs
@@ -13,10 +13,6 @@
     time::Instant,
 };
 
-/// Age of the last read from which the buffer is stale, in milliseconds: two read intervals, one of
-/// them late. Hosts then read the store themselves.
-const STALE_MS: u64 = 1_500;
-
 /// Retention time of records, in milliseconds: a few read intervals of the requesting hosts.
 const RETENTION_MS: u64 = 4_000;
 
@@ -53,10 +49,12 @@
         }
     }
 
-    /// Returns the records from an offset. Returns `None` if some were evicted or the buffer is
-    /// stale.
-    pub fn since(&self, now: Instant, from: u64) -> Option<Tail> {
-        let is_fresh = self.read_at.is_some_and(|at| now.since_ms(at) <= STALE_MS);
+    /// Returns the records from an offset. Returns `None` if some were evicted or the last read is
+    /// older than `max_age_ms`.
+    pub fn since(&self, now: Instant, from: u64, max_age_ms: u64) -> Option<Tail> {
+        let is_fresh = self
+            .read_at
+            .is_some_and(|at| now.since_ms(at) <= max_age_ms);
         if !is_fresh || from < self.start {
             return None;
         }
--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -172,8 +172,8 @@
     /// Decodes the reply to [`Adapter::tail`].
     fn tail_records(&self, from: u64, body: &[u8]) -> Result<Tail, Error>;
 
-    /// Encodes a write of the value of a key.
-    fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Call;
+    /// Encodes a write of records, which are appended together or not at all.
+    fn append(&self, topic: Topic, records: &[Record]) -> Call;
 
     /// Decodes a record of the operators.
     fn directive(&self, record: &Record) -> Result<Directive, Error>;
--- a/src/shell/gateway/peers/server.rs
+++ b/src/shell/gateway/peers/server.rs
@@ -103,7 +103,7 @@
         }
         Path::Recent => {
             let recent: Recent = postcard::from_bytes(body)?;
-            postcard::to_allocvec(&store::recent(gateway, recent))
+            postcard::to_allocvec(&store::recent(gateway, recent).await)
         }
         // Snapshots are sent without a MAC, before it would be checked.
         Path::Ping | Path::Snapshot => Ok(Vec::new()),
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use opentelemetry::KeyValue;
+use tokio::sync::Notify;
 
 use crate::shell::gateway::{
     Gateway,
@@ -29,12 +30,8 @@
 };
 use crate::{
     core::gateway::{
-        hosts::{
-            HEARTBEAT_INTERVAL_MS,
-            Heartbeat, //
-        },
-        mac::Key,
-        recent::Buffer,
+        hosts::HEARTBEAT_INTERVAL_MS,
+        recent::Buffer, //
     },
     edges::gateway::{
         Call,
@@ -47,6 +44,7 @@
 };
 
 mod apply;
+mod heartbeats;
 mod shared;
 
 pub(super) use apply::apply_snapshot;
@@ -54,6 +52,7 @@
     apply,
     remove_missing, //
 };
+pub(super) use heartbeats::announce_leave;
 pub(super) use shared::recent;
 
 /// Maximum duration of a long poll for the operators' next record, in milliseconds. Short, so that a
@@ -67,10 +66,6 @@
 /// Pause between reads of topics that change all the time, in milliseconds. Each read is billed.
 const READ_INTERVAL_MS: u64 = 800;
 
-/// Pause between checks whether this host has a key, in milliseconds: the time of two answers of the
-/// store.
-const KEY_CHECK_INTERVAL_MS: u64 = 10;
-
 /// Backoff after the first failure, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 150;
 
@@ -84,10 +79,10 @@
 const MAX_RELAYS: usize = 2;
 
 /// Number of reads after the start with a short pause, while hosts discover each other.
-const STARTUP_READS: u32 = 8;
+const STARTUP_READS: u32 = 4;
 
 /// Pause between those reads, in milliseconds.
-const STARTUP_READ_INTERVAL_MS: u64 = 150;
+const STARTUP_READ_INTERVAL_MS: u64 = 300;
 
 /// Key of the store's connections in the pool.
 const POOL_KEY: &str = "store";
@@ -111,6 +106,9 @@
     read_at: Cell<Option<Instant>>,
     // Recent reads, for the other hosts of the data centre.
     recent_reads: RefCell<BTreeMap<Topic, Buffer>>,
+    // Notified at each of them.
+    read_done: Notify,
+    heartbeats: heartbeats::Outbox,
     // Topics that were read once.
     loaded_topics: RefCell<BTreeSet<Topic>>,
     incarnation: Cell<u64>,
@@ -162,7 +160,7 @@
     for topic in TOPICS {
         tokio::task::spawn_local(follow(gateway.clone(), topic));
     }
-    tokio::task::spawn_local(run_heartbeats(gateway.clone()));
+    tokio::task::spawn_local(heartbeats::run(gateway.clone()));
 }
 
 /// Calls the store, and has other hosts relay the call if it fails: the store may refuse only this
@@ -205,10 +203,18 @@
 }
 
 /// Calls the store for another host.
-pub(super) async fn relay(gateway: &Gateway, relay: Relay) -> Relayed {
+pub(super) async fn relay(gateway: &Rc<Gateway>, relay: Relay) -> Relayed {
     let limit_ms = match &relay {
-        Relay::Newest { .. } | Relay::Heartbeat(_) => CALL_TIMEOUT_MS,
+        Relay::Newest { .. } => CALL_TIMEOUT_MS,
         Relay::Tail { wait_ms, .. } => (*wait_ms).min(LONG_POLL_MS) + CALL_TIMEOUT_MS,
+        Relay::Heartbeat(heartbeat) => {
+            let is_written = heartbeats::gather(gateway, heartbeat.clone()).await;
+            return if is_written {
+                Relayed::Answer(Bytes::new())
+            } else {
+                Relayed::Failed
+            };
+        }
     };
     match call_directly(gateway, &relay, limit_ms).await {
         Ok(body) => Relayed::Answer(body),
@@ -227,12 +233,13 @@
             wait_ms,
         } => adapter.tail(*topic, *from, (*wait_ms).min(LONG_POLL_MS)),
         Relay::Heartbeat(heartbeat) => {
-            let value = postcard::to_allocvec(heartbeat);
-            let value = value.map_err(|error| Error::Call(error.to_string()))?;
-            adapter.put(Topic::Hosts, &heartbeat.host, &value)
+            adapter.append(Topic::Hosts, &[heartbeats::record(heartbeat)?])
         }
     };
+    exchange_within(gateway, call, limit_ms).await
+}
 
+async fn exchange_within(gateway: &Gateway, call: Call, limit_ms: u64) -> Result<Bytes, Error> {
     let address = gateway.options.borrow().store;
     let limit = Duration::from_millis(limit_ms);
     let exchange = exchange(gateway, address, call);
@@ -374,7 +381,7 @@
     match topic {
         Topic::Operator => {}
         Topic::Servers => gateway.store.has_servers.set(true),
-        Topic::Hosts => ensure_key(gateway),
+        Topic::Hosts => heartbeats::ensure_key(gateway),
     }
     gateway.store.loaded_topics.borrow_mut().insert(topic);
     Ok(from.unwrap_or(0))
@@ -399,90 +406,3 @@
     apply(gateway, topic, records.collect(), false);
     Ok(tail.next)
 }
-
-/// Generates a key for this host, unless its last incarnation left one in the store, which other
-/// hosts know.
-fn ensure_key(gateway: &Gateway) {
-    if gateway.key.get().is_some() {
-        return;
-    }
-    let mut bytes = [0; 32];
-    match getrandom::fill(&mut bytes) {
-        // The key was checked to be unset above.
-        Ok(()) => drop(gateway.key.set(Key::new(bytes))),
-        Err(error) => gateway.log.write(&Event::Dependency {
-            name: "random numbers",
-            up: false,
-            why: &error.to_string(),
-        }),
-    }
-}
-
-fn heartbeat(gateway: &Gateway) -> Heartbeat {
-    let state = &gateway.store;
-    let sequence = state.sequence.get() + 1;
-    state.sequence.set(sequence);
-    let listen = gateway.options.borrow().listen;
-    Heartbeat {
-        host: gateway.identity.host.clone(),
-        caller_address: listen.callers,
-        peer_address: listen.peers,
-        datagram_address: listen.gossip,
-        data_centre: gateway.identity.data_centre.clone(),
-        region: gateway.identity.region.clone(),
-        incarnation: state.incarnation.get(),
-        sequence,
-        serving: gateway.leaving_since.get().is_none(),
-        key: gateway.key.get().cloned(),
-    }
-}
-
-async fn send_heartbeat(gateway: &Gateway, heartbeat: &Heartbeat) -> Result<(), Error> {
-    let result = call(
-        gateway,
-        Relay::Heartbeat(heartbeat.clone()),
-        CALL_TIMEOUT_MS,
-    )
-    .await;
-    result.map(|_| ())
-}
-
-async fn run_heartbeats(gateway: Rc<Gateway>) {
-    loop {
-        let heartbeat = heartbeat(&gateway);
-        // The own heartbeat is recorded even if the store can't be reached.
-        let now = gateway.now();
-        gateway
-            .hosts
-            .borrow_mut()
-            .record(now, heartbeat.clone(), false);
-        // Without a key nothing is written: other hosts can't use such a heartbeat, and it would
-        // replace one in the store that may have the key.
-        let has_key = heartbeat.key.is_some();
-        if has_key && let Err(error) = send_heartbeat(&gateway, &heartbeat).await {
-            // The next heartbeat is the retry.
-            gateway.log.write(&Event::Dependency {
-                name: "heartbeat",
-                up: false,
-                why: &error.to_string(),
-            });
-        }
-        let pause_ms = if has_key {
-            HEARTBEAT_INTERVAL_MS
-        } else {
-            KEY_CHECK_INTERVAL_MS
-        };
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-    }
-}
-
-/// Announces to other hosts that this one no longer serves callers.
-pub(super) async fn announce_leave(gateway: &Gateway) {
-    let heartbeat = heartbeat(gateway);
-    gateway
-        .hosts
-        .borrow_mut()
-        .record(gateway.now(), heartbeat.clone(), false);
-    // If the store is unavailable, other hosts detect the missing heartbeats instead.
-    let _ = send_heartbeat(gateway, &heartbeat).await;
-}
--- a/src/shell/gateway/store/shared.rs
+++ b/src/shell/gateway/store/shared.rs
@@ -1,8 +1,14 @@
-//! Shared reads: one host of a data centre reads the topics that change all the time for the others.
+//! Shared reads: one host of a large data centre reads each topic for the others.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
-use super::topic_name;
+use super::{
+    LONG_POLL_MS,
+    topic_name, //
+};
 use crate::{
     edges::gateway::{
         Tail,
@@ -22,12 +28,31 @@
 /// fallback.
 const FETCH_TIMEOUT_MS: u64 = 400;
 
-/// Returns whether reads of a topic are shared. Records of operators have to reach all hosts fast,
-/// and seldom change.
-fn is_shared(topic: Topic) -> bool {
+/// Time for which a call to the reader waits for the operators' next record, in milliseconds. Shorter
+/// than a long poll of the store, so that a dead reader is detected in time, and a call to another
+/// host has no price.
+const FETCH_WAIT_MS: u64 = 1_000;
+
+/// Age of the reader's last read of the topics that change all the time, from which its records are
+/// stale, in milliseconds: two read intervals, one of them late. Hosts then read the store themselves.
+const STALE_MS: u64 = 1_500;
+
+/// The same for operators' records, where a read that returns nothing takes as long as a long poll.
+const OPERATOR_STALE_MS: u64 = LONG_POLL_MS + 700;
+
+/// Returns how long a call to the reader waits for a record, in milliseconds. Records of operators
+/// have to reach all hosts fast, and seldom change. Those of the other topics change all the time.
+fn wait_ms(topic: Topic) -> u64 {
+    match topic {
+        Topic::Operator => FETCH_WAIT_MS,
+        Topic::Servers | Topic::Hosts => 0,
+    }
+}
+
+fn stale_ms(topic: Topic) -> u64 {
     match topic {
-        Topic::Servers | Topic::Hosts => true,
-        Topic::Operator => false,
+        Topic::Operator => OPERATOR_STALE_MS,
+        Topic::Servers | Topic::Hosts => STALE_MS,
     }
 }
 
@@ -38,9 +63,6 @@
 }
 
 fn reader(gateway: &Gateway, topic: Topic) -> Option<(Name, SocketAddr)> {
-    if !is_shared(topic) {
-        return None;
-    }
     let hosts = gateway.hosts.borrow();
     let now = gateway.now();
     hosts.reader(now, &gateway.identity.data_centre, topic_name(topic))
@@ -52,7 +74,8 @@
     let (name, address) =
         reader(gateway, topic).filter(|(name, _)| *name != gateway.identity.host)?;
     let recent = Recent { topic, from };
-    match peers::fetch_recent(gateway, address, recent, FETCH_TIMEOUT_MS).await {
+    let timeout_ms = wait_ms(topic) + FETCH_TIMEOUT_MS;
+    match peers::fetch_recent(gateway, address, recent, timeout_ms).await {
         Ok(tail) => tail,
         Err(error) => {
             gateway.suspect(&name, &error);
@@ -63,19 +86,35 @@
 
 /// Records a read of the store, for other hosts.
 pub(super) fn record_read(gateway: &Gateway, topic: Topic, from: u64, tail: &Tail) {
-    if is_shared(topic) {
-        let mut recent = gateway.store.recent_reads.borrow_mut();
-        recent
-            .entry(topic)
-            .or_default()
-            .record(gateway.now(), from, tail);
-    }
+    let now = gateway.now();
+    gateway
+        .store
+        .recent_reads
+        .borrow_mut()
+        .entry(topic)
+        .or_default()
+        .record(now, from, tail);
+    gateway.store.read_done.notify_waiters();
 }
 
-/// Returns the records that were read recently, for another host.
-pub(in crate::shell::gateway) fn recent(gateway: &Gateway, request: Recent) -> Option<Tail> {
-    let recent = gateway.store.recent_reads.borrow();
-    recent
-        .get(&request.topic)?
-        .since(gateway.now(), request.from)
+/// Returns the records that were read recently, for another host. Waits for the next ones if there
+/// are none and the topic seldom changes.
+pub(in crate::shell::gateway) async fn recent(gateway: &Gateway, request: Recent) -> Option<Tail> {
+    let deadline = gateway.now().after_ms(wait_ms(request.topic));
+    loop {
+        // Registered before the check, so that no read is missed between the two.
+        let next_read = gateway.store.read_done.notified();
+        let now = gateway.now();
+        let tail = {
+            let reads = gateway.store.recent_reads.borrow();
+            let buffer = reads.get(&request.topic)?;
+            buffer.since(now, request.from, stale_ms(request.topic))?
+        };
+        if !tail.records.is_empty() || now >= deadline {
+            return Some(tail);
+        }
+        let limit = Duration::from_millis(deadline.since_ms(now));
+        // A timeout is handled by the check at the start of the loop.
+        let _ = tokio::time::timeout(limit, next_read).await;
+    }
 }
--- a/tests/core/gateway/recent.rs
+++ b/tests/core/gateway/recent.rs
@@ -8,6 +8,8 @@
 
 use super::at;
 
+const STALE_MS: u64 = 1_500;
+
 fn tail(offsets: std::ops::Range<u64>) -> Tail {
     let record = |offset: u64| Record {
         key: format!("key-{offset}").into(),
@@ -31,21 +33,24 @@
     buffer.record(at(0), 10, &tail(10..13));
     buffer.record(at(800), 13, &tail(13..15));
     assert_eq!(
-        offsets(buffer.since(at(900), 10)),
+        offsets(buffer.since(at(900), 10, STALE_MS)),
         Some((vec![10, 11, 12, 13, 14], 15))
     );
     assert_eq!(
-        offsets(buffer.since(at(900), 12)),
+        offsets(buffer.since(at(900), 12, STALE_MS)),
         Some((vec![12, 13, 14], 15))
     );
-    assert_eq!(offsets(buffer.since(at(900), 15)), Some((vec![], 15)));
     assert_eq!(
-        offsets(buffer.since(at(900), 20)),
+        offsets(buffer.since(at(900), 15, STALE_MS)),
+        Some((vec![], 15))
+    );
+    assert_eq!(
+        offsets(buffer.since(at(900), 20, STALE_MS)),
         Some((vec![], 20)),
         "the caller is ahead"
     );
     assert_eq!(
-        offsets(buffer.since(at(900), 9)),
+        offsets(buffer.since(at(900), 9, STALE_MS)),
         None,
         "before the first record"
     );
@@ -56,9 +61,9 @@
 fn since_stale_buffer() {
     let mut buffer = Buffer::default();
     buffer.record(at(0), 0, &tail(0..3));
-    assert!(buffer.since(at(1_500), 0).is_some());
-    assert_eq!(buffer.since(at(1_501), 0), None);
-    assert_eq!(Buffer::default().since(at(0), 0), None);
+    assert!(buffer.since(at(1_500), 0, STALE_MS).is_some());
+    assert_eq!(buffer.since(at(1_501), 0, STALE_MS), None);
+    assert_eq!(Buffer::default().since(at(0), 0, STALE_MS), None);
 }
 
 #[test]
@@ -66,8 +71,11 @@
     let mut buffer = Buffer::default();
     buffer.record(at(0), 0, &tail(0..3));
     buffer.record(at(5_000), 3, &tail(3..5));
-    assert_eq!(offsets(buffer.since(at(5_000), 2)), None);
-    assert_eq!(offsets(buffer.since(at(5_000), 3)), Some((vec![3, 4], 5)));
+    assert_eq!(offsets(buffer.since(at(5_000), 2, STALE_MS)), None);
+    assert_eq!(
+        offsets(buffer.since(at(5_000), 3, STALE_MS)),
+        Some((vec![3, 4], 5))
+    );
 }
 
 #[test]
@@ -75,6 +83,9 @@
     let mut buffer = Buffer::default();
     buffer.record(at(0), 0, &tail(0..3));
     buffer.record(at(100), 7, &tail(7..9));
-    assert_eq!(offsets(buffer.since(at(100), 2)), None);
-    assert_eq!(offsets(buffer.since(at(100), 7)), Some((vec![7, 8], 9)));
+    assert_eq!(offsets(buffer.since(at(100), 2, STALE_MS)), None);
+    assert_eq!(
+        offsets(buffer.since(at(100), 7, STALE_MS)),
+        Some((vec![7, 8], 9))
+    );
 }
