Have the larger hosts of a group do the work for others

Cause: the host that batches the pieces of a service, and those that read the store, were chosen among all hosts of a data centre, so mostly small ones (0.12 of a core, 20 Mbit/s) beside three with 0.5.

Change: heartbeats carry the processor's capacity; coordinators are the hosts with at least half of the largest. The small ones take over if no large one is left. A host doesn't read heartbeats of the version before, so the hosts of a deployment are updated together.

Tests: coordinators_large_hosts_only, coordinators_order_kept_when_one_fails.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -1,6 +1,7 @@
 //! Table of entry hosts and their liveness, from heartbeats in the platform's store.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     net::{
         IpAddr,
@@ -34,6 +35,10 @@
 /// may be paused and send its pending requests when it resumes.
 const QUOTA_TIMEOUT_MS: u64 = 12_000;
 
+/// Minimum capacity of a host that works for others, in percent of the largest host among them. Small
+/// hosts have little processor time beside their own callers.
+const MIN_COORDINATOR_PERCENT: u64 = 50;
+
 /// Minimum number of hosts in a data centre for one of them to read the store for the others. With
 /// fewer, the saved reads aren't worth the additional delay.
 const MIN_SHARED_READ_HOSTS: usize = 4;
@@ -61,6 +66,8 @@
     pub serving: bool,
     /// Key for the MAC of messages to it. `None` if another host passed the heartbeat on.
     pub key: Option<Key>,
+    /// Capacity of its processor, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// A host and its last heartbeat.
@@ -177,19 +184,38 @@
         data_centre: &Name,
         topic: &str,
     ) -> Option<(Name, SocketAddr)> {
-        let local: Vec<&Heartbeat> = self
+        let is_local = |heartbeat: &Heartbeat| heartbeat.data_centre == *data_centre;
+        let local = self
             .reachable(now)
-            .map(|host| &host.heartbeat)
-            .filter(|heartbeat| heartbeat.serving && heartbeat.data_centre == *data_centre)
-            .collect();
-        if local.len() < MIN_SHARED_READ_HOSTS {
+            .filter(|host| host.heartbeat.serving && is_local(&host.heartbeat));
+        if local.count() < MIN_SHARED_READ_HOSTS {
             return None;
         }
-        let local = local.into_iter();
-        let reader = local.max_by_key(|heartbeat| balance::hash(&[&heartbeat.host, topic]))?;
+        let reader = *self.coordinators(now, topic, is_local).first()?;
         Some((reader.host.clone(), reader.peer_address))
     }
 
+    /// Returns the hosts that can do a task for a group of hosts, the one that does it first.
+    ///
+    /// Only the larger hosts of the group are candidates. Rendezvous hashing gives each task its own
+    /// order of them, which changes only by the hosts that come and go.
+    pub fn coordinators(
+        &self,
+        now: Instant,
+        task: &str,
+        is_member: impl Fn(&Heartbeat) -> bool,
+    ) -> Vec<&Heartbeat> {
+        let heartbeats = self.reachable(now).map(|host| &host.heartbeat);
+        let mut hosts: Vec<&Heartbeat> = heartbeats
+            .filter(|heartbeat| heartbeat.serving && is_member(heartbeat))
+            .collect();
+        let capacity = |heartbeat: &Heartbeat| u64::from(heartbeat.capacity);
+        let largest = hosts.iter().map(|host| capacity(host)).max().unwrap_or(0);
+        hosts.retain(|host| capacity(host) * 100 >= largest * MIN_COORDINATOR_PERCENT);
+        hosts.sort_by_cached_key(|host| Reverse(balance::hash(&[&host.host, task])));
+        hosts
+    }
+
     /// Returns the key of the host at an address, of the most recent one if the address was reused.
     pub fn key_at(&self, address: SocketAddr) -> Option<&Key> {
         let at_address = self
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -58,6 +58,8 @@
     pub memory_mb: u64,
     /// Number of file descriptors.
     pub descriptors: u64,
+    /// Processor time, in thousandths of a core.
+    pub processor: u32,
 }
 
 /// Bounds that the operators set.
--- a/src/shell/gateway/stages/mod.rs
+++ b/src/shell/gateway/stages/mod.rs
@@ -18,7 +18,6 @@
 };
 use crate::{
     core::gateway::{
-        balance,
         batch::Piece,
         config::{
             Role,
@@ -233,14 +232,14 @@
     map.record(progress.service, progress.data_centre, remote);
 }
 
-/// Returns the owner of a service in a data centre, by rendezvous hashing over its hosts.
+/// Returns the owner of a service in a data centre, by rendezvous hashing over its larger hosts.
 fn owner(gateway: &Gateway, service: &Name, data_centre: &Name) -> Option<(Name, SocketAddr)> {
     let hosts = gateway.hosts.borrow();
-    let candidates = hosts
-        .reachable(gateway.now())
-        .filter(|host| host.heartbeat.serving && host.heartbeat.data_centre == *data_centre);
-    let owner = candidates.max_by_key(|host| balance::hash(&[&host.heartbeat.host, service]))?;
-    Some((owner.heartbeat.host.clone(), owner.heartbeat.peer_address))
+    let owners = hosts.coordinators(gateway.now(), service, |heartbeat| {
+        heartbeat.data_centre == *data_centre
+    });
+    let owner = *owners.first()?;
+    Some((owner.host.clone(), owner.peer_address))
 }
 
 /// Runs the periodic work: sends calls that have become due, and reports progress to other data
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -166,6 +166,7 @@
         sequence,
         serving: gateway.leaving_since.get().is_none(),
         key: gateway.key.get().cloned(),
+        capacity: gateway.options.borrow().process.processor,
     }
 }
 
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -25,6 +25,7 @@
         sequence,
         serving: true,
         key: None,
+        capacity: 250,
     }
 }
 
@@ -162,3 +163,48 @@
     table.record(at(0), heartbeat("e", "r", 1), false);
     assert_ne!(reader(&table, "servers"), Some(first));
 }
+
+/// A data centre has a few large hosts and many small ones, which have no time left in a burst.
+#[test]
+fn coordinators_large_hosts_only() {
+    let mut table = Table::default();
+    for index in 0..40 {
+        let small = Heartbeat {
+            capacity: 120,
+            ..heartbeat(&format!("small-{index}"), "r", 1)
+        };
+        table.record(at(0), small, false);
+    }
+    for index in 0..3 {
+        let large = Heartbeat {
+            capacity: 500,
+            ..heartbeat(&format!("large-{index}"), "r", 1)
+        };
+        table.record(at(0), large, false);
+    }
+    for task in ["ledger", "catalogue", "freight"] {
+        let coordinators = table.coordinators(at(1), task, |_| true);
+        assert_eq!(coordinators.len(), 3, "{task}");
+        assert!(coordinators.iter().all(|host| host.capacity == 500));
+    }
+    // The small ones take over if no large one is left.
+    for index in 0..3 {
+        table.suspect(at(2), &format!("large-{index}").into(), true);
+    }
+    assert_eq!(table.coordinators(at(3), "ledger", |_| true).len(), 40);
+}
+
+#[test]
+fn coordinators_order_kept_when_one_fails() {
+    let mut table = Table::default();
+    for host in ["a", "b", "c", "d", "e"] {
+        table.record(at(0), heartbeat(host, "r", 1), false);
+    }
+    let order = |table: &Table| -> Vec<String> {
+        let coordinators = table.coordinators(at(1), "task", |_| true);
+        coordinators.iter().map(|it| it.host.to_string()).collect()
+    };
+    let before = order(&table);
+    table.suspect(at(1), &before[0].as_str().into(), true);
+    assert_eq!(order(&table), before[1..]);
+}
