Assign requests to engines by one dispatcher in each region

Cause: 295 hosts divided the rate limit of a cold server, so that each had one request a second at about 4 of the 51 engines of its region. Prompts did not go where their parts were cached, bursts found all servers full while 7% of the slots were in use, and each host sent each placement to all others, a load that grows with the square of the hosts.

Change: from 24 hosts on, one large host of each region assigns the requests with prompts of all its hosts, asked by datagrams: one place for load, caches and rates. Two hosts may be asked, each assigns at most 40% of a cold server's limit, and hosts divide the rest for requests that neither assigns, so that the sum stays within the limit while they disagree.

Tests: ask_burst_of_many_hosts replays the burst with the policy before beside it, ask_all_limits_within_total, ask_within_any_second, ask_not_ready_after_start_and_pause, report_missing_expires; over processes cold_limit_survives_frozen_dispatcher and prompts_of_all_hosts_share_cache.

--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -2,6 +2,11 @@
 
 use std::collections::HashMap;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use super::{
     cache, quota, rate,
     servers::{
@@ -34,7 +39,7 @@
 const REMOTE_REGION_COST_TOKENS: u64 = 12_000;
 
 /// A segment of a prompt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Segment {
     /// Its id.
     pub id: Name,
@@ -206,6 +211,27 @@
         }
     }
 
+    /// Adds a request that a dispatcher assigned to the load. It doesn't count against the rate limits
+    /// of this host.
+    pub fn accept(&mut self, server: &Name, tokens: u64, source: Option<Name>) -> Assignment {
+        let load = self.loads.entry(server.clone()).or_default();
+        load.running += 1;
+        load.prefill_tokens += tokens;
+        Assignment {
+            server: server.clone(),
+            tokens,
+            source,
+            is_prefilling: true,
+        }
+    }
+
+    /// Returns the servers at which `max_running` or more requests of this host run.
+    pub fn at_limit(&self, max_running: u32) -> Vec<Name> {
+        let loads = self.loads.iter();
+        let at_limit = loads.filter(|(_, load)| load.running >= max_running);
+        at_limit.map(|(server, _)| server.clone()).collect()
+    }
+
     /// Records that another host sent segments to a server.
     pub fn record_remote(&mut self, now: Instant, server: &Name, segments: &[cache::Key]) {
         for &segment in segments {
--- /dev/null
+++ b/src/core/gateway/dispatch.rs
@@ -0,0 +1,229 @@
+//! Central assignment of requests to the engines of a region.
+//!
+//! Load pattern: hundreds of hosts with a few requests a second each, before engines that may be cold.
+//! If hosts divide the rate limit of a cold server, each may send one request a second to a few
+//! servers. So prompts can't go to the server that caches them, and a burst finds all servers full
+//! while most of them are idle. Instead one host of the region, the dispatcher, assigns the requests
+//! of all hosts, with the load, the caches and the rates of all engines in one place.
+
+use std::collections::BTreeMap;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    balance::{
+        self,
+        Assignment,
+        Balancer,
+        Segment, //
+    },
+    cache,
+    quota::Group,
+    servers::{
+        self,
+        Server, //
+    },
+};
+use crate::{
+    names::Name,
+    time::Instant, //
+};
+
+/// Part of a cold server's rate limit that one dispatcher assigns, in percent. While hosts disagree on
+/// the dispatcher, the two that they may ask stay within the limit together.
+pub const DISPATCHER_PERCENT: u64 = 40;
+
+/// Part of a cold server's rate limit that hosts divide among themselves, for requests that no
+/// dispatcher assigns, in percent.
+pub const DIVIDED_PERCENT: u64 = 100 - DISPATCHERS as u64 * DISPATCHER_PERCENT;
+
+/// Number of hosts that a host may ask, one after the other.
+pub const DISPATCHERS: usize = 2;
+
+/// Minimum number of hosts in all regions for dispatchers. Fewer hosts have shares of about one request
+/// a second at every server.
+pub const MIN_HOSTS: usize = 24;
+
+/// Time after its start from which a host assigns requests of others, in milliseconds. By then it has
+/// received the heartbeats of all live hosts, and its servers are up to date.
+const START_DELAY_MS: u64 = 3_000;
+
+/// Time after a pause of the process from which it assigns requests again, in milliseconds. Its
+/// requests of the last second are out of the window of rate limits by then.
+const RESUME_DELAY_MS: u64 = 1_000;
+
+/// Asks for the server of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The service.
+    pub service: Name,
+    /// Segments of the prompt in order.
+    pub prompt: Vec<Segment>,
+    /// Servers that the request must not go to.
+    pub excluded: Vec<Name>,
+    /// Time after which the request has ended, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// Answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The request may be sent to a server.
+    Granted(Grant),
+    /// All usable servers of the region are at their limits.
+    Full,
+    /// The region has no usable server.
+    NoServer,
+    /// This host assigns no requests now.
+    NotReady,
+}
+
+/// Permission to send one request to a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Number of the grant at its dispatcher.
+    pub id: u64,
+    /// The server.
+    pub server: Name,
+    /// Prefill cost of the prompt at the server, in tokens.
+    pub tokens: u64,
+    /// Server from whose cache it can fetch segments of the prompt.
+    pub source: Option<Name>,
+}
+
+/// Progress of a granted request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Report {
+    /// Its first event arrived.
+    Prefilled {
+        /// Number of the grant.
+        id: u64,
+    },
+    /// It ended.
+    Completed {
+        /// Number of the grant.
+        id: u64,
+        /// Whether the server caused a failure.
+        failed: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Running {
+    assignment: Assignment,
+    expires: Instant,
+}
+
+/// Assigns the requests of all hosts of a region.
+#[derive(Debug)]
+pub struct Dispatcher {
+    balancer: Balancer,
+    alone: Group,
+    running: BTreeMap<u64, Running>,
+    last_id: u64,
+    ready_at: Instant,
+}
+
+impl Dispatcher {
+    /// Creates the dispatcher of a host that starts now. Numbers of its grants follow `first_id`, so
+    /// that they differ from those of an earlier incarnation.
+    pub fn new(now: Instant, first_id: u64) -> Self {
+        Self {
+            balancer: Balancer::default(),
+            alone: Group::default(),
+            running: BTreeMap::new(),
+            last_id: first_id,
+            ready_at: now.after_ms(START_DELAY_MS),
+        }
+    }
+
+    /// Assigns a request to one of the servers that `is_own` selects.
+    ///
+    /// `cold_requests_per_s` is the rate limit of a cold server over all hosts.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        table: &servers::Table,
+        ask: &Ask,
+        cold_requests_per_s: f64,
+        is_own: balance::Filter<'_>,
+    ) -> Reply {
+        if now < self.ready_at {
+            return Reply::NotReady;
+        }
+        self.expire(now);
+        let request = balance::Request {
+            service: &ask.service,
+            prompt: &ask.prompt,
+            tried: &ask.excluded,
+            cold_requests_per_s: cold_requests_per_s * DISPATCHER_PERCENT as f64 / 100.0,
+            group: &self.alone,
+            max_running: u32::MAX,
+            local_hosts: 1,
+        };
+        let is_local: &dyn Fn(&Server) -> bool = &|_| true;
+        match self.balancer.place(now, table, &request, is_own, is_local) {
+            Ok(assignment) => {
+                self.last_id += 1;
+                let grant = Grant {
+                    id: self.last_id,
+                    server: assignment.server.clone(),
+                    tokens: assignment.tokens,
+                    source: assignment.source.clone(),
+                };
+                let running = Running {
+                    assignment,
+                    expires: now.after_ms(ask.remaining_ms),
+                };
+                self.running.insert(grant.id, running);
+                Reply::Granted(grant)
+            }
+            Err(balance::Error::Full) => Reply::Full,
+            Err(balance::Error::NoServer) => Reply::NoServer,
+        }
+    }
+
+    /// Records the progress of a granted request. One that is unknown or expired is ignored.
+    pub fn report(&mut self, now: Instant, report: Report) {
+        match report {
+            Report::Prefilled { id } => {
+                if let Some(running) = self.running.get_mut(&id) {
+                    self.balancer.finish_prefill(&mut running.assignment);
+                }
+            }
+            Report::Completed { id, failed } => {
+                if let Some(running) = self.running.remove(&id) {
+                    self.balancer.complete(now, running.assignment, failed);
+                }
+            }
+        }
+    }
+
+    /// Ends the requests whose time is over. Their reports were lost, or their hosts died.
+    fn expire(&mut self, now: Instant) {
+        let expired = self
+            .running
+            .extract_if(.., |_, running| now >= running.expires);
+        for (_, running) in expired {
+            self.balancer.complete(now, running.assignment, false);
+        }
+    }
+
+    /// Records that the process was paused. Another host may have assigned requests meanwhile.
+    pub fn resume(&mut self, now: Instant) {
+        self.ready_at = self.ready_at.max(now.after_ms(RESUME_DELAY_MS));
+    }
+
+    /// Records that a request with these segments was sent to a server.
+    pub fn record_remote(&mut self, now: Instant, server: &Name, segments: &[cache::Key]) {
+        self.balancer.record_remote(now, server, segments);
+    }
+
+    /// Removes a server that has left or restarted.
+    pub fn forget(&mut self, id: &Name) {
+        self.balancer.forget(id);
+    }
+}
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -2,7 +2,10 @@
 
 use std::{
     cmp::Reverse,
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     net::{
         IpAddr,
         SocketAddr, //
@@ -89,6 +92,8 @@
     outage_since: Option<Instant>,
     // Hosts that don't answer this one, and since when.
     suspects: BTreeMap<Name, Instant>,
+    // The host that last had an address for datagrams.
+    by_datagram_address: HashMap<SocketAddr, Name>,
 }
 
 impl Table {
@@ -110,6 +115,8 @@
         } else {
             Some(now)
         };
+        self.by_datagram_address
+            .insert(heartbeat.datagram_address, heartbeat.host.clone());
         self.hosts.insert(
             heartbeat.host.clone(),
             Host {
@@ -216,6 +223,19 @@
         hosts
     }
 
+    /// Returns the host with an address for datagrams, the most recent one if the address was reused.
+    pub fn at_datagram_address(&self, address: SocketAddr) -> Option<&Host> {
+        let name = self.by_datagram_address.get(&address)?;
+        self.hosts.get(name)
+    }
+
+    /// Returns whether a live host has an address for datagrams.
+    pub fn is_live_at(&self, now: Instant, address: SocketAddr) -> bool {
+        let host = self.at_datagram_address(address);
+        let age_ms = host.and_then(|host| self.age_ms(now, host));
+        age_ms.is_some_and(|age_ms| age_ms < HEARTBEAT_TIMEOUT_MS)
+    }
+
     /// Returns the key of the host at an address, of the most recent one if the address was reused.
     pub fn key_at(&self, address: SocketAddr) -> Option<&Key> {
         let at_address = self
--- /dev/null
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -0,0 +1,136 @@
+//! Datagrams between hosts: placements of prompts, and the assignment of requests by dispatchers.
+//!
+//! A lost datagram is not sent again, except a question to a dispatcher.
+
+use std::{
+    cell::OnceCell,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::net::UdpSocket;
+
+use super::Gateway;
+use crate::core::gateway::{
+    dispatch::{
+        Ask,
+        Reply,
+        Report, //
+    },
+    hosts::Heartbeat,
+    mac::MAC_BYTES, //
+};
+
+mod assignments;
+mod placements;
+
+pub(super) use assignments::{
+    Answer,
+    Lease,
+    ask, //
+};
+use placements::Placement;
+pub(super) use placements::record_placement;
+
+/// Interval at which collected placements and reports are sent, in milliseconds. A part can be fetched
+/// a few hundred milliseconds after it was placed.
+const SEND_INTERVAL_MS: u64 = 60;
+
+/// Maximum size of a datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 1_300 + MAC_BYTES;
+
+/// Content of a datagram.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    Placements(Vec<Placement>),
+    Ask { number: u64, ask: Ask },
+    Reply { number: u64, reply: Reply },
+    Reports(Vec<Report>),
+}
+
+/// State of the exchange of datagrams.
+#[derive(Default)]
+pub(super) struct State {
+    socket: OnceCell<UdpSocket>,
+    placements: placements::Pending,
+    assignments: assignments::State,
+}
+
+/// Binds the socket, and starts the tasks that send and receive.
+pub(super) fn spawn(gateway: &Rc<Gateway>) -> io::Result<()> {
+    let address = gateway.options.borrow().listen.gossip;
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let socket = UdpSocket::from_std(socket)?;
+    if gateway.datagrams.socket.set(socket).is_err() {
+        return Err(io::Error::other("datagrams are bound already"));
+    }
+    tokio::task::spawn_local(flush(gateway.clone()));
+    tokio::task::spawn_local(receive(gateway.clone()));
+    Ok(())
+}
+
+/// Sends a message to a host. One whose key isn't known yet gets nothing, as if it were lost.
+fn send(gateway: &Gateway, to: &Heartbeat, message: &Message) {
+    let (Some(socket), Some(key)) = (gateway.datagrams.socket.get(), &to.key) else {
+        return;
+    };
+    // Encoding can't fail, and a datagram that can't be sent counts as lost.
+    let Ok(mut datagram) = postcard::to_allocvec(message) else {
+        return;
+    };
+    key.sign_datagram(&mut datagram);
+    let _ = socket.try_send_to(&datagram, to.datagram_address);
+}
+
+/// Sends a message to the host at an address for datagrams.
+fn send_to(gateway: &Gateway, to: SocketAddr, message: &Message) {
+    let hosts = gateway.hosts.borrow();
+    if let Some(host) = hosts.at_datagram_address(to) {
+        send(gateway, &host.heartbeat, message);
+    }
+}
+
+async fn flush(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(SEND_INTERVAL_MS)).await;
+        placements::flush(&gateway);
+        assignments::flush(&gateway);
+    }
+}
+
+async fn receive(gateway: Rc<Gateway>) {
+    let Some(socket) = gateway.datagrams.socket.get() else {
+        return;
+    };
+    let mut buffer = [0_u8; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // Also reports hosts that a datagram did not reach, which doesn't matter to the receiver.
+            continue;
+        };
+        let now = gateway.now();
+        let is_host = gateway.hosts.borrow().is_live_at(now, from);
+        let key = gateway.key.get();
+        let content = key.and_then(|key| key.verify_datagram(&buffer[..length]));
+        let Some(content) = content.filter(|_| is_host) else {
+            continue;
+        };
+        // A message of another version is ignored, as if it were lost.
+        match postcard::from_bytes(content) {
+            Ok(Message::Placements(placements)) => placements::record(&gateway, &placements),
+            Ok(Message::Ask { number, ask }) => assignments::answer(&gateway, from, number, &ask),
+            Ok(Message::Reply { number, reply }) => {
+                assignments::receive(&gateway, from, number, reply);
+            }
+            Ok(Message::Reports(reports)) => assignments::record(&gateway, &reports),
+            Err(_) => {}
+        }
+    }
+}
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -16,25 +16,37 @@
             self,
             Assignment, //
         },
+        dispatch::{
+            self,
+            Ask,
+            Grant, //
+        },
         retry::Outcome,
     },
     names::Name,
     shell::gateway::{
         Gateway,
-        gossip,
+        datagrams::{
+            self,
+            Answer,
+            Lease, //
+        },
         log::Event,
         upstream, //
     },
-    time::Instant,
 };
 
 /// Delay before a request asks for a server again when all are full, in milliseconds.
 const FULL_RETRY_MS: u64 = 20;
 
+/// Maximum number of servers that a question to a dispatcher excludes, so that it fits a datagram.
+const MAX_EXCLUDED: usize = 24;
+
 /// A request's slot at a server, released on drop.
 pub(super) struct Slot {
     gateway: Rc<Gateway>,
     assignment: Option<Assignment>,
+    lease: Option<Lease>,
 }
 
 impl Slot {
@@ -54,6 +66,9 @@
                 .borrow_mut()
                 .finish_prefill(assignment);
         }
+        if let Some(lease) = &self.lease {
+            lease.finish_prefill(&self.gateway);
+        }
     }
 
     /// Releases the slot. `failed` means that the server was at fault.
@@ -67,6 +82,9 @@
             let mut balancer = self.gateway.balancer.borrow_mut();
             balancer.complete(now, assignment, failed);
         }
+        if let Some(lease) = self.lease.take() {
+            lease.complete(&self.gateway, failed);
+        }
     }
 }
 
@@ -98,66 +116,140 @@
             // The server received nothing, so this isn't a repeated request and costs no budget.
             return true;
         }
-        let hosts = self.gateway.quota_group().size();
+        let hosts = self.gateway.overview().group.size();
         self.gateway
             .budget
             .borrow_mut()
             .try_take(now, &self.service, hosts)
     }
 
+    /// Waits until a server can take the request, and takes a slot there.
     pub(super) async fn assign(&self) -> Result<Slot, Error> {
-        let failure = |reason: String| Error {
-            outcome: Outcome::NotSent,
-            reason,
-            server: None,
-        };
-        let cold_per_s = self.config.services.get(&self.service);
-        let cold_per_s = cold_per_s.map_or(0.0, |service| service.cold_requests_per_s);
-        let factor = self.gateway.options.borrow().bounds.cold_factor;
         loop {
-            let now = self.gateway.now();
-            let tried = self.tried.borrow().clone();
-            let group = self.gateway.quota_group();
-            let request = balance::Request {
-                service: &self.service,
-                prompt: &self.prompt,
-                tried: &tried,
-                cold_requests_per_s: cold_per_s * factor,
-                group: &group,
-                max_running: u32::try_from(self.max_connections(group.size())).unwrap_or(u32::MAX),
-                local_hosts: self.gateway.local_hosts(),
+            let assigned = if self.uses_dispatchers() {
+                self.ask_dispatchers().await
+            } else {
+                self.place()
             };
-            let result = self.gateway.balancer.borrow_mut().place(
-                now,
-                &self.gateway.servers.borrow(),
-                &request,
-                &|server| self.is_allowed(&server.entry.data_centre),
-                &|server| {
-                    self.gateway.region_of(&server.entry.data_centre) == *self.region.borrow()
-                },
-            );
-            match result {
-                Ok(assignment) => {
-                    self.log_placed(now, &assignment);
-                    gossip::record_placement(&self.gateway, &assignment.server, &self.prompt);
-                    return Ok(Slot {
-                        gateway: self.gateway.clone(),
-                        assignment: Some(assignment),
-                    });
-                }
-                Err(balance::Error::Full) if now.after_ms(EXPECTED_RUN_MS) < self.deadline => {
+            match assigned {
+                Ok(slot) => return Ok(slot),
+                Err(balance::Error::Full)
+                    if self.gateway.now().after_ms(EXPECTED_RUN_MS) < self.deadline =>
+                {
                     tokio::time::sleep(Duration::from_millis(FULL_RETRY_MS)).await;
                 }
                 Err(error) => {
                     self.is_exhausted.set(true);
-                    return Err(failure(error.to_string()));
+                    return Err(Error {
+                        outcome: Outcome::NotSent,
+                        reason: error.to_string(),
+                        server: None,
+                    });
                 }
             }
         }
     }
 
-    fn log_placed(&self, now: Instant, assignment: &Assignment) {
+    /// Returns whether dispatchers assign the request: where there are many hosts, those of prompts.
+    fn uses_dispatchers(&self) -> bool {
+        !self.prompt.is_empty() && self.gateway.overview().has_dispatchers
+    }
+
+    /// Has a dispatcher assign a server, that of the preferred region first. This host assigns one
+    /// from its own share if no dispatcher of that region answers.
+    async fn ask_dispatchers(&self) -> Result<Slot, balance::Error> {
+        let gateway = &self.gateway;
+        let preferred = self.region.borrow().clone();
+        let mut regions: Vec<Name> = gateway.overview().dispatchers.keys().cloned().collect();
+        regions.sort_by_key(|region| *region != preferred);
+        let mut has_server = false;
+        for region in regions.iter().filter(|region| self.allows_region(region)) {
+            let max_running = self.max_connections(gateway.overview().group.size());
+            let max_running = u32::try_from(max_running).unwrap_or(u32::MAX);
+            let mut excluded = self.tried.borrow().clone();
+            excluded.extend(gateway.balancer.borrow().at_limit(max_running));
+            excluded.truncate(MAX_EXCLUDED);
+            let ask = Ask {
+                service: self.service.clone(),
+                prompt: self.prompt.clone(),
+                excluded,
+                remaining_ms: self.deadline.since_ms(gateway.now()),
+            };
+            match datagrams::ask(gateway, region, &ask).await {
+                Answer::Granted(grant, lease) => return Ok(self.accept(grant, lease)),
+                Answer::Full => has_server = true,
+                Answer::Silent if *region == preferred => match self.place() {
+                    Ok(slot) => return Ok(slot),
+                    Err(error) => has_server |= error == balance::Error::Full,
+                },
+                Answer::Silent => {}
+            }
+        }
+        Err(if has_server {
+            balance::Error::Full
+        } else {
+            balance::Error::NoServer
+        })
+    }
+
+    /// Takes the slot that a dispatcher granted.
+    fn accept(&self, grant: Grant, lease: Lease) -> Slot {
+        let gateway = &self.gateway;
+        let assignment = gateway.balancer.borrow_mut().accept(
+            &grant.server,
+            grant.tokens,
+            grant.source, //
+        );
+        self.log_placed(&assignment, Some(&lease.dispatcher));
+        datagrams::record_placement(gateway, &assignment.server, &self.prompt);
+        Slot {
+            gateway: gateway.clone(),
+            assignment: Some(assignment),
+            lease: Some(lease),
+        }
+    }
+
+    /// Assigns a server from this host's own share of the limits.
+    fn place(&self) -> Result<Slot, balance::Error> {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let overview = gateway.overview();
+        let service = self.config.services.get(&self.service);
+        let mut cold_per_s = service.map_or(0.0, |service| service.cold_requests_per_s);
+        cold_per_s *= gateway.options.borrow().bounds.cold_factor;
+        if overview.has_dispatchers {
+            cold_per_s *= dispatch::DIVIDED_PERCENT as f64 / 100.0;
+        }
+        let max_running = self.max_connections(overview.group.size());
+        let tried = self.tried.borrow();
+        let request = balance::Request {
+            service: &self.service,
+            prompt: &self.prompt,
+            tried: &tried,
+            cold_requests_per_s: cold_per_s,
+            group: &overview.group,
+            max_running: u32::try_from(max_running).unwrap_or(u32::MAX),
+            local_hosts: overview.local_hosts,
+        };
+        let assignment = gateway.balancer.borrow_mut().place(
+            now,
+            &gateway.servers.borrow(),
+            &request,
+            &|server| self.is_allowed(&server.entry.data_centre),
+            &|server| gateway.region_of(&server.entry.data_centre) == *self.region.borrow(),
+        )?;
+        self.log_placed(&assignment, None);
+        datagrams::record_placement(gateway, &assignment.server, &self.prompt);
+        Ok(Slot {
+            gateway: gateway.clone(),
+            assignment: Some(assignment),
+            lease: None,
+        })
+    }
+
+    fn log_placed(&self, assignment: &Assignment, dispatcher: Option<&Name>) {
         let gateway = &self.gateway;
+        let now = gateway.now();
         let servers = gateway.servers.borrow();
         let received_at = servers
             .get(&assignment.server)
@@ -169,6 +261,7 @@
             running: gateway.balancer.borrow().running(&assignment.server),
             tokens: assignment.tokens,
             age_ms: received_at.map_or(0, |received_at| now.since_ms(received_at)),
+            dispatcher,
         });
     }
 }
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -333,8 +333,11 @@
     }
 
     fn is_allowed(&self, data_centre: &Name) -> bool {
-        let region = self.gateway.region_of(data_centre);
-        let excludes = |regions: &[Name]| !regions.is_empty() && !regions.contains(&region);
+        self.allows_region(&self.gateway.region_of(data_centre))
+    }
+
+    fn allows_region(&self, region: &Name) -> bool {
+        let excludes = |regions: &[Name]| !regions.is_empty() && !regions.contains(region);
         let organisation = self.organisation.as_ref();
         !excludes(&self.route.regions)
             && !organisation.is_some_and(|organisation| excludes(&organisation.regions))
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -107,7 +107,7 @@
                 .borrow_mut()
                 .record_request(now, &self.service);
         }
-        let hosts = self.gateway.quota_group().size();
+        let hosts = self.gateway.overview().group.size();
         // The request may run from here on, unless the response says otherwise. The flag has to be
         // set before the wait, which a deadline can cancel.
         let may_have_run_before = self.may_have_run.replace(true);
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -136,6 +136,8 @@
         tokens: u64,
         /// Time since the server's entry was received.
         age_ms: u64,
+        /// The dispatcher that assigned the server. `None` if this host did.
+        dispatcher: Option<&'a Name>,
     },
     /// An attempt at a server failed.
     Failed {
@@ -314,8 +316,10 @@
                 running,
                 tokens,
                 age_ms,
+                dispatcher,
             } => slog::info!(log, "placed"; "request" => request, "server" => %server,
-                "attempt" => attempt, "running" => running, "tokens" => tokens, "age_ms" => age_ms),
+                "attempt" => attempt, "running" => running, "tokens" => tokens, "age_ms" => age_ms,
+                "dispatcher" => dispatcher.map(Name::as_str)),
             Event::Failed {
                 request,
                 server,
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -33,10 +33,10 @@
             Budget, //
         },
         config::Config,
+        dispatch::Dispatcher,
         hosts,
         mac::Key,
         plan,
-        quota,
         servers,
         spillover, //
     },
@@ -46,17 +46,21 @@
         config::LogLevel,
         gateway::Options, //
     },
-    shell::logging,
+    shell::{
+        clock::draw_incarnation,
+        logging, //
+    },
     time::Instant,
 };
 
 mod clock;
+mod datagrams;
 mod forward;
 mod front;
-mod gossip;
 mod log;
 mod metrics;
 mod net;
+mod overview;
 mod peers;
 mod stages;
 mod store;
@@ -68,6 +72,7 @@
     Log, //
 };
 use metrics::Metrics;
+use overview::Overview;
 
 /// Interval between ticks, in milliseconds.
 const TICK_MS: u64 = 100;
@@ -100,7 +105,9 @@
     batchers: RefCell<HashMap<Name, Rc<stages::Batcher>>>,
     free_queue: stages::FreeQueue,
     durations: RefCell<plan::Durations>,
-    pending_placements: gossip::Pending,
+    dispatcher: RefCell<Dispatcher>,
+    datagrams: datagrams::State,
+    overview: RefCell<Option<Rc<Overview>>>,
     spillover: RefCell<spillover::Table>,
     pool: Rc<upstream::Pool>,
     store: store::State,
@@ -132,26 +139,11 @@
         self.config.borrow().clone()
     }
 
-    /// Returns the hosts that share the limits of servers.
-    fn quota_group(&self) -> quota::Group {
-        self.hosts
-            .borrow()
-            .quota_group(self.now(), &self.identity.host)
-    }
-
-    /// Returns the number of live hosts in this data centre, this host included.
-    fn local_hosts(&self) -> usize {
-        let hosts = self.hosts.borrow();
-        let local = hosts
-            .live(self.now())
-            .filter(|host| host.heartbeat.data_centre == self.identity.data_centre);
-        local.count().max(1)
-    }
-
     /// Marks a host as suspected, and logs the reason if it wasn't suspected before.
     fn suspect(&self, host: &Name, why: &dyn std::fmt::Display) {
         let now = self.now();
         if self.hosts.borrow_mut().suspect(now, host, true) {
+            self.overview.take();
             self.log.write(&Event::Dependency {
                 name: host,
                 up: false,
@@ -160,6 +152,12 @@
         }
     }
 
+    /// Drops what is known about the load and the cache of a server that has left or restarted.
+    fn forget_server(&self, id: &Name) {
+        self.balancer.borrow_mut().forget(id);
+        self.dispatcher.borrow_mut().forget(id);
+    }
+
     fn region_of(&self, data_centre: &Name) -> Name {
         self.options.borrow().region_of(data_centre)
     }
@@ -195,7 +193,7 @@
         data_centre: &identity.data_centre,
     });
     let listeners = front::bind(&gateway)?;
-    gossip::spawn(&gateway).context("can't listen for news")?;
+    datagrams::spawn(&gateway).context("can't listen for datagrams")?;
     store::spawn(&gateway);
     front::spawn(&gateway, listeners);
     tokio::task::spawn_local(peers::probe_suspects(gateway.clone()));
@@ -222,6 +220,7 @@
         region: options.region(),
     };
     let logger = logging::open(std::io::stdout(), LogLevel::Info);
+    let dispatcher = Dispatcher::new(clock.now(), draw_incarnation());
     Ok(Rc::new(Gateway {
         options: RefCell::new(options),
         adapter,
@@ -236,7 +235,9 @@
         batchers: RefCell::default(),
         free_queue: stages::FreeQueue::default(),
         durations: RefCell::default(),
-        pending_placements: gossip::Pending::default(),
+        dispatcher: RefCell::new(dispatcher),
+        datagrams: datagrams::State::default(),
+        overview: RefCell::default(),
         spillover: RefCell::default(),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
@@ -260,11 +261,12 @@
             gateway.log.write(&Event::Paused { ms: gap_ms });
             // Peers have closed idle connections meanwhile, or may when the next request is sent.
             gateway.pool.close_idle();
+            gateway.dispatcher.borrow_mut().resume(now);
         }
         last = now;
         let expired = gateway.servers.borrow_mut().expire(now);
         for id in &expired {
-            gateway.balancer.borrow_mut().forget(id);
+            gateway.forget_server(id);
             gateway.log.write(&Event::Server { id, change: "gone" });
         }
         gateway.pool.close_expired();
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -319,7 +319,7 @@
     if *tries == 0 {
         return false;
     }
-    let hosts = gateway.quota_group().size();
+    let hosts = gateway.overview().group.size();
     let now = gateway.now();
     gateway
         .budget
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -178,7 +178,7 @@
         Some(Change::Restarted(_)) => "restarted",
     };
     if change != "joined" {
-        gateway.balancer.borrow_mut().forget(id);
+        gateway.forget_server(id);
     }
     gateway.log.write(&Event::Server { id, change });
 }
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod cache;
 mod config;
+mod dispatch;
 mod hosts;
 mod mac;
 mod plan;
