Name hosts of the caller's data centre first in large regions

Cause: an answer holds 64 addresses, and a region has 87 to 109 hosts. All answers named the first 64 by name, so that the rest of the region had no callers.

Change: where a region has more hosts than an answer holds, up to 48 are of the caller's data centre and the rest of others, in an order of each data centre's own that stays the same, since callers close connections to hosts that are missing.

Test: addresses_large_region_names_all_hosts.

--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -116,6 +116,8 @@
 pub struct Lookup {
     /// Region of the caller, empty if it isn't stated.
     pub region: String,
+    /// Data centre of the caller, empty if it isn't stated.
+    pub data_centre: String,
 }
 
 /// Header names, by content.
--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -252,7 +252,8 @@
         return with_status(StatusCode::NOT_FOUND, "");
     };
     let now = gateway.now();
-    let addresses = lookup::addresses(now, &gateway.hosts.borrow(), &query.region);
+    let hosts = gateway.hosts.borrow();
+    let addresses = lookup::addresses(now, &hosts, &query.region, &query.data_centre);
     if addresses.is_empty() {
         return with_status(StatusCode::SERVICE_UNAVAILABLE, "no host serves");
     }
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -104,8 +104,8 @@
     for (host, region) in [("a", "east"), ("b", "east"), ("c", "west")] {
         table.record(at(0), heartbeat(host, region, 1), false);
     }
-    assert_eq!(lookup::addresses(at(1), &table, "east").len(), 2);
-    assert_eq!(lookup::addresses(at(1), &table, "nowhere").len(), 3);
+    assert_eq!(lookup::addresses(at(1), &table, "east", "").len(), 2);
+    assert_eq!(lookup::addresses(at(1), &table, "nowhere", "").len(), 3);
 }
 
 #[test]
@@ -115,7 +115,7 @@
         table.record(at(0), heartbeat(host, "east", 1), false);
     }
     table.record(at(0), heartbeat("f", "west", 1), false);
-    assert_eq!(lookup::addresses(at(1), &table, "west").len(), 6);
+    assert_eq!(lookup::addresses(at(1), &table, "west", "").len(), 6);
 }
 
 #[test]
@@ -127,7 +127,7 @@
         ..heartbeat("b", "east", 1)
     };
     table.record(at(0), leaving, false);
-    assert_eq!(lookup::addresses(at(1), &table, "east").len(), 1);
+    assert_eq!(lookup::addresses(at(1), &table, "east", "").len(), 1);
 }
 
 #[test]
@@ -208,3 +208,42 @@
     table.suspect(at(1), &before[0].as_str().into(), true);
     assert_eq!(order(&table), before[1..]);
 }
+
+/// A region has more hosts than an answer holds.
+#[test]
+fn addresses_large_region_names_all_hosts() {
+    let mut table = Table::default();
+    let centres = [("east-a", 60_u16), ("east-b", 50)];
+    for (data_centre, count) in centres {
+        for index in 0..count {
+            let name = format!("{data_centre}-{index}");
+            let port = index
+                + if data_centre == "east-a" {
+                    1_000
+                } else {
+                    2_000
+                };
+            let host = Heartbeat {
+                caller_address: ([127, 0, 0, 1], port).into(),
+                data_centre: data_centre.into(),
+                ..heartbeat(&name, "east", 1)
+            };
+            table.record(at(0), host, false);
+        }
+    }
+    let named = |data_centre| lookup::addresses(at(1), &table, "east", data_centre);
+    let mut all: Vec<SocketAddr> = Vec::new();
+    for (data_centre, own_port) in [("east-a", 1_000), ("east-b", 2_000)] {
+        let addresses = named(data_centre);
+        assert_eq!(addresses.len(), 64);
+        assert_eq!(addresses, named(data_centre), "the order is stable");
+        let own = addresses
+            .iter()
+            .filter(|address| (own_port..own_port + 1_000).contains(&address.port()));
+        assert_eq!(own.count(), 48, "hosts of the own data centre");
+        all.extend(addresses);
+    }
+    all.sort_unstable();
+    all.dedup();
+    assert!(all.len() >= 100, "{} of 110 hosts are named", all.len());
+}
