Recognise late copies of answers that name no request

Cause: a refusal without a request id, and answers to calls with pieces, can't be told from the answer to the next request on their connection. A copy that comes late was taken for that: an order that was run was answered as not run, and a request got another one's results.

Change: a connection is used again only after an answer that names its request; a call with pieces whose results are those of one of the last four calls to the server fails, and its connection is closed. A stream that sends 256 KiB without an id is invalid.

--- a/examples/measure/drain.rs
+++ b/examples/measure/drain.rs
@@ -191,9 +191,10 @@
         };
         if std::env::var_os("MEASURE_TRACE").is_some() {
             eprintln!(
-                "TRACE {scene:?} {} {} {told}",
-                one.since.as_ms() / 1000,
-                one.subject
+                "TRACE {scene:?} {} {} {told} {:?}",
+                one.since.as_ms(),
+                one.subject,
+                one.word
             );
         }
         *others_told.entry(told).or_default() += 1;
--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{
     BTreeMap,
-    HashMap, //
+    HashMap,
+    VecDeque, //
 };
 
 use super::{
@@ -31,6 +32,9 @@
 /// Typical number of call durations until results that fill a server's memory are released.
 const MEMORY_WAIT_CALLS: f64 = 2.0;
 
+/// Number of calls to a server whose results are remembered, to recognise a second copy of an answer.
+const REMEMBERED_CALLS: usize = 4;
+
 /// A piece of a stage of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Piece {
@@ -93,6 +97,8 @@
     // Estimated bytes of results that this host didn't create, and when the estimate expires.
     untracked: (u64, Instant),
     results: HashMap<Name, (u64, Instant)>,
+    // Results of the newest calls, also of those that were released.
+    answered: VecDeque<Vec<Name>>,
 }
 
 impl Server {
@@ -376,6 +382,26 @@
         }
     }
 
+    /// Returns whether the results of a call are those of an earlier call to the same server, and
+    /// remembers them if not.
+    ///
+    /// Answers to calls don't name the call. A faulty server may send one a second time, late, where
+    /// the answer to the next call is expected.
+    pub fn is_repeated(&mut self, server: &Name, results: &[Name]) -> bool {
+        if results.is_empty() {
+            return false;
+        }
+        let answered = &mut self.servers.entry(server.clone()).or_default().answered;
+        if answered.iter().any(|call| call == results) {
+            return true;
+        }
+        answered.push_back(results.to_vec());
+        if answered.len() > REMEMBERED_CALLS {
+            answered.pop_front();
+        }
+        false
+    }
+
     /// Records that a result was released.
     pub fn release(&mut self, result: &str) {
         for server in self.servers.values_mut() {
--- a/src/core/gateway/stream.rs
+++ b/src/core/gateway/stream.rs
@@ -3,12 +3,19 @@
 /// Maximum size of an event, in bytes. A longer one is an error of the server.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Maximum number of bytes between two ids, such as those of comments, in bytes. A faulty server may
+/// send bytes that are no events without end.
+const MAX_UNNUMBERED_BYTES: usize = 256 * 1024;
+
 /// Why a stream is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// An event exceeds the maximum size.
     #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
+    /// The bytes are no events: many of them came without an id.
+    #[error("{MAX_UNNUMBERED_BYTES} bytes without an id")]
+    Unnumbered,
     /// An event is missing, repeated or out of order.
     #[error("event {id} came after event {last}")]
     Order {
@@ -24,6 +31,7 @@
 pub struct Framer {
     buffer: Vec<u8>,
     last_id: Option<u64>,
+    unnumbered_bytes: usize,
 }
 
 impl Framer {
@@ -32,6 +40,7 @@
         Self {
             buffer: Vec::new(),
             last_id,
+            unnumbered_bytes: 0,
         }
     }
 
@@ -58,8 +67,13 @@
 
     fn check(&mut self, line: &[u8]) -> Result<(), Error> {
         let Some(id) = event_id(line) else {
+            self.unnumbered_bytes += line.len() + 1;
+            if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
+                return Err(Error::Unnumbered);
+            }
             return Ok(());
         };
+        self.unnumbered_bytes = 0;
         if let Some(last) = self.last_id
             && id != last + 1
         {
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -57,6 +57,9 @@
         };
         let status = response.status();
         let echo = header_text(response.headers(), &names.request);
+        // A late copy of a response that names no request can't be told from the response to the next
+        // request, so its connection isn't used again.
+        let is_named = !echo.is_empty();
         if !echo.is_empty() && echo != &*self.id {
             slot.release(true);
             return Err(failure(
@@ -67,7 +70,7 @@
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
             self.may_have_run.set(may_have_run_before);
             let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            if body.collect().await.is_ok() {
+            if body.collect().await.is_ok() && is_named {
                 lease.finish();
             }
             slot.release(status.as_u16() == 421);
@@ -91,7 +94,9 @@
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(body) => {
-                lease.finish();
+                if is_named {
+                    lease.finish();
+                }
                 slot.release(status.is_server_error());
                 Ok(Answer::Whole(Response::from_parts(head, body.to_bytes())))
             }
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -13,7 +13,11 @@
     HeaderValue,
     Request, //
 };
-use http_body_util::Full;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
 use opentelemetry::KeyValue;
 use tokio::sync::oneshot;
 
@@ -21,7 +25,10 @@
     Gateway,
     log::Event,
     peers,
-    upstream, //
+    upstream::{
+        self,
+        Reuse, //
+    },
 };
 use crate::{
     core::gateway::{
@@ -250,7 +257,7 @@
     let expected_ms = stages.call_ms + stages.piece_ms * call.pieces.len() as f64;
     let timeout_after =
         Duration::from_millis((expected_ms * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK_MS) as u64);
-    let completion = tokio::time::timeout(timeout_after, send(gateway, &call))
+    let completion = tokio::time::timeout(timeout_after, send(gateway, batcher, &call))
         .await
         .unwrap_or_else(|_| Completion::Failed("no answer in time".to_string()));
     let now = gateway.now();
@@ -327,7 +334,7 @@
         .try_take(now, &batcher.service, hosts)
 }
 
-pub(super) async fn send(gateway: &Gateway, call: &Call) -> Completion {
+pub(super) async fn send(gateway: &Gateway, batcher: &Batcher, call: &Call) -> Completion {
     let now = gateway.now();
     let address = gateway
         .servers
@@ -351,16 +358,25 @@
     let Some(request) = request else {
         return Completion::NotRun("no request");
     };
-    let answer = gateway
-        .pool
-        .exchange(&call.server, address, request, MAX_ANSWER_BYTES)
-        .await;
-    let answer = match answer {
-        Ok(answer) => answer,
+    let sent = gateway.pool.send(
+        &call.server,
+        address,
+        request,
+        Reuse::Any,
+        upstream::UNLIMITED, //
+    );
+    let (response, lease) = match sent.await {
+        Ok(sent) => sent,
         Err(error) => return Completion::Failed(error.to_string()),
     };
-    match answer.status().as_u16() {
-        200 => match gateway.adapter.piece_results(answer.body()) {
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+    let body = match body.await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Completion::Failed(format!("answer broke off: {error}")),
+    };
+    let completion = match status {
+        200 => match gateway.adapter.piece_results(&body) {
             Ok(results) if results.len() == call.pieces.len() => Completion::Results(results),
             Ok(results) => Completion::Failed(format!("{} results", results.len())),
             Err(error) => Completion::Failed(error.to_string()),
@@ -368,7 +384,20 @@
         503 => Completion::NotRun("server full"),
         421 => Completion::NotRun("another server"),
         status => Completion::Failed(format!("status {status}")),
+    };
+    if let Completion::Results(results) = &completion {
+        let results: Vec<Name> = results.iter().cloned().filter_map(Result::ok).collect();
+        if batcher
+            .queue
+            .borrow_mut()
+            .is_repeated(&call.server, &results)
+        {
+            // The answer to this call may follow, so the connection is closed.
+            return Completion::Failed("answer to an earlier call".to_string());
+        }
+        lease.finish();
     }
+    completion
 }
 
 /// Builds the request of a call. A header names the only server that may run it, so that another
--- a/tests/core/gateway/batch.rs
+++ b/tests/core/gateway/batch.rs
@@ -299,3 +299,17 @@
     }
     sum / count
 }
+
+#[test]
+fn is_repeated_copy_of_earlier_answer() {
+    let mut queue = Queue::default();
+    let server: Name = "s1".into();
+    let (first, second) = (names(&["a", "b"]), names(&["c"]));
+    assert!(!queue.is_repeated(&server, &first));
+    assert!(!queue.is_repeated(&server, &second));
+    assert!(queue.is_repeated(&server, &first));
+    assert!(queue.is_repeated(&server, &second));
+    assert!(!queue.is_repeated(&"s2".into(), &first), "another server");
+    assert!(!queue.is_repeated(&server, &[]), "no piece has a result");
+    assert!(!queue.is_repeated(&server, &[]));
+}
--- a/tests/core/gateway/stream.rs
+++ b/tests/core/gateway/stream.rs
@@ -64,3 +64,25 @@
         let _ = framer.push(&bytes);
     }
 }
+
+/// A faulty server sends bytes with ends of events, but no ids.
+#[test]
+fn push_without_ids() {
+    let mut framer = Framer::default();
+    assert!(framer.push(b"id: 1\ndata: x\n\n").is_ok());
+    let comment = [b": still here\n\n".as_slice(); 100].concat();
+    let mut pushed = 0;
+    let error = loop {
+        match framer.push(&comment) {
+            Ok(_) => pushed += comment.len(),
+            Err(error) => break error,
+        }
+        assert!(pushed < 1_000_000, "{pushed} bytes are passed on");
+    };
+    assert_eq!(error, Error::Unnumbered);
+    let mut framer = Framer::default();
+    for id in 1..2_000_u64 {
+        let event = format!(": still here\n\nid: {id}\ndata: {}\n\n", "x".repeat(300));
+        assert!(framer.push(event.as_bytes()).is_ok());
+    }
+}
