Call the store seldom while it doesn't answer, assign requests sooner after a loss of all hosts

While it is down, each host tried each topic by itself and through two others, several times a second. After all hosts were killed, no dispatcher assigned requests for 3 s although all hosts knew each other by then.

Change: a reader says that the store doesn't answer it, and the others then try themselves once in 3 s. Heartbeats go through two writers, and directly only if neither can be reached. A dispatcher that starts is ready once it knows most hosts, 3 s after its start at the latest.

--- a/src/core/gateway/dispatch.rs
+++ b/src/core/gateway/dispatch.rs
@@ -47,7 +47,7 @@
 /// a second at every server.
 pub const MIN_HOSTS: usize = 24;
 
-/// Time after its start from which a host assigns requests of others, in milliseconds. By then it has
+/// Time after its start from which a host assigns requests in any case, in milliseconds. By then it has
 /// received the heartbeats of all live hosts, and its servers are up to date.
 const START_DELAY_MS: u64 = 3_000;
 
@@ -125,6 +125,7 @@
     running: BTreeMap<u64, Running>,
     last_id: u64,
     ready_at: Instant,
+    is_starting: bool,
 }
 
 impl Dispatcher {
@@ -137,6 +138,7 @@
             running: BTreeMap::new(),
             last_id: first_id,
             ready_at: now.after_ms(START_DELAY_MS),
+            is_starting: true,
         }
     }
 
@@ -212,8 +214,20 @@
         }
     }
 
+    /// Records how many hosts are live, of those that share the limits of servers.
+    ///
+    /// A host that knows only a few would take itself for the dispatcher. As soon as it knows most of
+    /// them, it need not wait longer: after the loss of all hosts, none would assign requests.
+    pub fn observe_hosts(&mut self, now: Instant, live: usize, all: usize) {
+        if self.is_starting && live * 2 >= all {
+            self.is_starting = false;
+            self.ready_at = self.ready_at.min(now);
+        }
+    }
+
     /// Records that the process was paused. Another host may have assigned requests meanwhile.
     pub fn resume(&mut self, now: Instant) {
+        self.is_starting = false;
         self.ready_at = self.ready_at.max(now.after_ms(RESUME_DELAY_MS));
     }
 
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -191,15 +191,27 @@
         data_centre: &Name,
         topic: &str,
     ) -> Option<(Name, SocketAddr)> {
+        self.readers(now, data_centre, topic).into_iter().next()
+    }
+
+    /// Returns the hosts that can call the store for all hosts of a data centre, the one that does so
+    /// first. Returns none if there are so few hosts that each of them calls it.
+    pub fn readers(
+        &self,
+        now: Instant,
+        data_centre: &Name,
+        topic: &str,
+    ) -> Vec<(Name, SocketAddr)> {
         let is_local = |heartbeat: &Heartbeat| heartbeat.data_centre == *data_centre;
         let local = self
             .reachable(now)
             .filter(|host| host.heartbeat.serving && is_local(&host.heartbeat));
         if local.count() < MIN_SHARED_READ_HOSTS {
-            return None;
+            return Vec::new();
         }
-        let reader = *self.coordinators(now, topic, is_local).first()?;
-        Some((reader.host.clone(), reader.peer_address))
+        let readers = self.coordinators(now, topic, is_local).into_iter();
+        let address = |reader: &Heartbeat| (reader.host.clone(), reader.peer_address);
+        readers.map(address).collect()
     }
 
     /// Returns the hosts that can do a task for a group of hosts, the one that does it first.
--- a/src/shell/gateway/overview.rs
+++ b/src/shell/gateway/overview.rs
@@ -68,6 +68,10 @@
             .live(now)
             .filter(|host| host.heartbeat.data_centre == self.identity.data_centre);
         let has_dispatchers = group.size() >= dispatch::MIN_HOSTS;
+        let live = hosts.live(now).count();
+        self.dispatcher
+            .borrow_mut()
+            .observe_hosts(now, live, group.size());
         let mut dispatchers = BTreeMap::new();
         if has_dispatchers {
             for region in self.options.borrow().regions.values() {
--- a/src/shell/gateway/peers/client.rs
+++ b/src/shell/gateway/peers/client.rs
@@ -20,12 +20,12 @@
         Relay,
         Relayed,
         Reply,
+        Shared,
         Snapshot, //
     },
 };
 use crate::{
     core::gateway::mac::Key,
-    edges::gateway::Tail,
     names::Name,
     shell::gateway::{Gateway, upstream},
 };
@@ -116,14 +116,13 @@
     postcard::from_bytes(&body).map_err(malformed)
 }
 
-/// Returns the records that a host read recently from a topic, or `None` if it has none or they are
-/// stale.
+/// Returns the records that a host read recently from a topic.
 pub(in crate::shell::gateway) async fn fetch_recent(
     gateway: &Gateway,
     address: SocketAddr,
     recent: Recent,
     timeout_ms: u64,
-) -> Result<Option<Tail>, Error> {
+) -> Result<Shared, Error> {
     let body = call(gateway, address, Path::Recent, &recent, timeout_ms).await?;
     postcard::from_bytes(&body).map_err(malformed)
 }
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -18,6 +18,7 @@
     edges::gateway::{
         Failure,
         Record,
+        Tail,
         Topic, //
     },
     names::Name,
@@ -215,6 +216,17 @@
     pub(in crate::shell::gateway) from: u64,
 }
 
+/// Answer to [`Recent`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(in crate::shell::gateway) enum Shared {
+    /// The records that were read recently.
+    Records(Tail),
+    /// The store doesn't answer the reader, directly or through other hosts.
+    Unavailable,
+    /// The host isn't a reader, or no longer has these records.
+    Missing,
+}
+
 /// State of a host, for one that starts while the store is unavailable.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::shell::gateway) struct Snapshot {
--- a/src/shell/gateway/peers/mod.rs
+++ b/src/shell/gateway/peers/mod.rs
@@ -36,6 +36,7 @@
     Relay,
     Relayed,
     Reply,
+    Shared,
     Snapshot, //
 };
 pub(super) use server::serve;
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -48,6 +48,9 @@
 /// interval of heartbeats, so that it hardly adds to the time in which a dead host is detected.
 const GATHER_MS: u64 = 300;
 
+/// Number of writers that are tried. The store may refuse one of them alone.
+const MAX_WRITERS: usize = 2;
+
 /// Name of the writer's task in the selection of its host.
 const WRITER_TASK: &str = "heartbeats";
 
@@ -100,28 +103,32 @@
     }
 }
 
-/// Sends a heartbeat through the writer of this data centre, and directly if that fails.
+/// Sends a heartbeat through a writer of this data centre, or directly if no writer answers.
 async fn send(gateway: &Rc<Gateway>, heartbeat: &Heartbeat) -> Result<(), Error> {
-    let writer = {
+    let mut writers = {
         let hosts = gateway.hosts.borrow();
-        hosts.reader(gateway.now(), &gateway.identity.data_centre, WRITER_TASK)
+        hosts.readers(gateway.now(), &gateway.identity.data_centre, WRITER_TASK)
     };
-    match writer {
-        Some((name, _)) if name == gateway.identity.host => {
+    writers.truncate(MAX_WRITERS);
+    let mut is_refused = false;
+    for (name, address) in writers {
+        if name == gateway.identity.host {
             if gather(gateway, heartbeat.clone()).await {
                 return Ok(());
             }
+            is_refused = true;
+            continue;
         }
-        Some((name, address)) => {
-            let message = Relay::Heartbeat(heartbeat.clone());
-            let timeout_ms = GATHER_MS + CALL_TIMEOUT_MS;
-            match peers::relay(gateway, address, &message, timeout_ms).await {
-                Ok(Relayed::Answer(_)) => return Ok(()),
-                Ok(Relayed::Gone | Relayed::Failed) => {}
-                Err(error) => gateway.suspect(&name, &error),
-            }
+        let message = Relay::Heartbeat(heartbeat.clone());
+        let timeout_ms = GATHER_MS + CALL_TIMEOUT_MS;
+        match peers::relay(gateway, address, &message, timeout_ms).await {
+            Ok(Relayed::Answer(_)) => return Ok(()),
+            Ok(Relayed::Gone | Relayed::Failed) => is_refused = true,
+            Err(error) => gateway.suspect(&name, &error),
         }
-        None => {}
+    }
+    if is_refused {
+        return Err(Error::Writers);
     }
     send_directly(gateway, heartbeat).await
 }
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -24,7 +24,8 @@
     peers::{
         self,
         Relay,
-        Relayed, //
+        Relayed,
+        Shared, //
     },
     upstream, //
 };
@@ -72,6 +73,10 @@
 /// Maximum backoff after consecutive failures, in milliseconds.
 const MAX_BACKOFF_MS: u64 = 600;
 
+/// Interval at which a host reads a topic itself while the reader can't, in milliseconds. In an outage
+/// the calls of all hosts would be wasted, and the reader may be the only one that is refused.
+const OWN_READ_INTERVAL_MS: u64 = 3_000;
+
 /// Maximum size of the store's response, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
@@ -111,6 +116,8 @@
     heartbeats: heartbeats::Outbox,
     // Topics that were read once.
     loaded_topics: RefCell<BTreeSet<Topic>>,
+    // When this host last read topics that their readers can't.
+    tried_at: RefCell<BTreeMap<Topic, Instant>>,
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
     relay_turn: Cell<usize>,
@@ -132,6 +139,22 @@
         !self.failing_topics.borrow().is_empty()
     }
 
+    fn is_failing_for(&self, topic: Topic) -> bool {
+        self.failing_topics.borrow().contains(&topic)
+    }
+
+    /// Returns whether this host should read a topic although the reader can't, and records that.
+    fn try_read(&self, now: Instant, topic: Topic) -> bool {
+        let mut tried = self.tried_at.borrow_mut();
+        let is_due = tried
+            .get(&topic)
+            .is_none_or(|&at| now.since_ms(at) >= OWN_READ_INTERVAL_MS);
+        if is_due {
+            tried.insert(topic, now);
+        }
+        is_due
+    }
+
     /// Returns the time since the operators' topic was last read, in milliseconds.
     pub(super) fn staleness_ms(&self, now: Instant) -> u64 {
         self.read_at
@@ -152,6 +175,10 @@
     Call(String),
     #[error("{0}")]
     Malformed(#[from] crate::edges::gateway::Error),
+    #[error("the store does not answer the host that reads it")]
+    Reader,
+    #[error("the store does not answer the hosts that write to it")]
+    Writers,
 }
 
 /// Starts the tasks that follow the store.
@@ -393,15 +420,22 @@
         from,
         wait_ms: LONG_POLL_MS,
     };
-    let tail = match shared::fetch(gateway, topic, from).await {
-        Some(tail) => tail,
-        None => {
-            let body = call(gateway, request, LONG_POLL_MS + CALL_TIMEOUT_MS).await?;
-            let tail = gateway.adapter.tail_records(from, &body)?;
-            shared::record_read(gateway, topic, from, &tail);
-            tail
+    let limit_ms = LONG_POLL_MS + CALL_TIMEOUT_MS;
+    let body = match shared::fetch(gateway, topic, from).await {
+        Shared::Records(tail) => {
+            let records = tail.records.into_iter().map(|(_, record)| record);
+            apply(gateway, topic, records.collect(), false);
+            return Ok(tail.next);
+        }
+        Shared::Missing => call(gateway, request, limit_ms).await?,
+        // The reader tried other hosts as well, so this one tries only itself, and seldom.
+        Shared::Unavailable if gateway.store.try_read(gateway.now(), topic) => {
+            call_directly(gateway, &request, limit_ms).await?
         }
+        Shared::Unavailable => return Err(Error::Reader),
     };
+    let tail = gateway.adapter.tail_records(from, &body)?;
+    shared::record_read(gateway, topic, from, &tail);
     let records = tail.records.into_iter().map(|(_, record)| record);
     apply(gateway, topic, records.collect(), false);
     Ok(tail.next)
--- a/src/shell/gateway/store/shared.rs
+++ b/src/shell/gateway/store/shared.rs
@@ -19,7 +19,8 @@
         Gateway,
         peers::{
             self,
-            Recent, //
+            Recent,
+            Shared, //
         },
     },
 };
@@ -68,18 +69,20 @@
     hosts.reader(now, &gateway.identity.data_centre, topic_name(topic))
 }
 
-/// Fetches the records from an offset on from the reader of a topic. Returns `None` if this host is
-/// the reader or there is none, or if it fails or has no such records.
-pub(super) async fn fetch(gateway: &Gateway, topic: Topic, from: u64) -> Option<Tail> {
-    let (name, address) =
-        reader(gateway, topic).filter(|(name, _)| *name != gateway.identity.host)?;
+/// Fetches the records from an offset on from the reader of a topic. They are missing if this host is
+/// the reader or there is none, or if it fails.
+pub(super) async fn fetch(gateway: &Gateway, topic: Topic, from: u64) -> Shared {
+    let reader = reader(gateway, topic).filter(|(name, _)| *name != gateway.identity.host);
+    let Some((name, address)) = reader else {
+        return Shared::Missing;
+    };
     let recent = Recent { topic, from };
     let timeout_ms = wait_ms(topic) + FETCH_TIMEOUT_MS;
     match peers::fetch_recent(gateway, address, recent, timeout_ms).await {
-        Ok(tail) => tail,
+        Ok(shared) => shared,
         Err(error) => {
             gateway.suspect(&name, &error);
-            None
+            Shared::Missing
         }
     }
 }
@@ -99,19 +102,27 @@
 
 /// Returns the records that were read recently, for another host. Waits for the next ones if there
 /// are none and the topic seldom changes.
-pub(in crate::shell::gateway) async fn recent(gateway: &Gateway, request: Recent) -> Option<Tail> {
-    let deadline = gateway.now().after_ms(wait_ms(request.topic));
+pub(in crate::shell::gateway) async fn recent(gateway: &Gateway, request: Recent) -> Shared {
+    let topic = request.topic;
+    let deadline = gateway.now().after_ms(wait_ms(topic));
     loop {
         // Registered before the check, so that no read is missed between the two.
         let next_read = gateway.store.read_done.notified();
         let now = gateway.now();
         let tail = {
             let reads = gateway.store.recent_reads.borrow();
-            let buffer = reads.get(&request.topic)?;
-            buffer.since(now, request.from, stale_ms(request.topic))?
+            let buffer = reads.get(&topic);
+            buffer.and_then(|buffer| buffer.since(now, request.from, stale_ms(topic)))
+        };
+        let Some(tail) = tail else {
+            return if gateway.store.is_failing_for(topic) {
+                Shared::Unavailable
+            } else {
+                Shared::Missing
+            };
         };
         if !tail.records.is_empty() || now >= deadline {
-            return Some(tail);
+            return Shared::Records(tail);
         }
         let limit = Duration::from_millis(deadline.since_ms(now));
         // A timeout is handled by the check at the start of the loop.
--- a/tests/core/gateway/dispatch.rs
+++ b/tests/core/gateway/dispatch.rs
@@ -248,3 +248,19 @@
     let reply = dispatcher.ask(at(READY_MS), &table, &question, COLD_PER_S, &is_own);
     assert_eq!(reply, Reply::NoServer);
 }
+
+/// All hosts were lost and start again. They don't wait longer than until they know each other.
+#[test]
+fn observe_hosts_most_live() {
+    let table = table(2);
+    let mut dispatcher = Dispatcher::new(at(0), 0);
+    let mut reply = |now_ms, live| {
+        dispatcher.observe_hosts(at(now_ms), live, 100);
+        let ask = ask("session", &format!("own-{now_ms}"));
+        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &is_any)
+    };
+    assert_eq!(reply(500, 1), Reply::NotReady, "only this host is known");
+    assert_eq!(reply(800, 49), Reply::NotReady);
+    assert!(granted(reply(1_100, 50)).is_some());
+    assert!(granted(reply(1_200, 10)).is_some(), "hosts leave later");
+}
