--- a/tests/core/gateway/dispatch.rs
+++ b/tests/core/gateway/dispatch.rs
@@ -222,7 +222,7 @@
 fn report_missing_expires() {
     let table = table(2);
     let mut dispatcher = Dispatcher::new(at(0), 0);
-    let mut server = |dispatcher: &mut Dispatcher, now_ms| {
+    let server = |dispatcher: &mut Dispatcher, now_ms| {
         let ask = ask("session", &format!("own-{now_ms}"));
         let reply = dispatcher.ask(at(now_ms), &table, &ask, 0.0, &is_any);
         granted(reply).expect("servers have no limit").server
