Announce drains before they are appended

Change: the host that appends a drain announces it to all members first. They respect it until its id has a verdict, or a complete read 12 s later lacks it. Ruled out: not vouching while an append is outstanding, since another host of the same data centre vouches as well; counting the drain from the operator's answer, which would have narrowed the check.

--- a/src/core/node/control.rs
+++ b/src/core/node/control.rs
@@ -87,6 +87,7 @@
 struct Key {
     members_revision: u64,
     position: Position,
+    announced_revision: u64,
     fresh_at: Instant,
     serving: bool,
     serving_since: Option<Instant>,
@@ -344,6 +345,7 @@
         Self {
             members_revision: membership.revision(),
             position: replica.position(),
+            announced_revision: replica.announced_revision(),
             fresh_at: replica.fresh_at(),
             serving: replica.is_current(),
             serving_since: membership.serving_since(),
@@ -384,7 +386,12 @@
         document,
         position: replica.position(),
         fresh_at: replica.fresh_at(),
-        drained: state.drained.keys().cloned().collect(),
+        drained: state
+            .drained
+            .keys()
+            .chain(replica.announced_drains())
+            .cloned()
+            .collect(),
         roster,
         previous_roster,
         members: membership.members().to_vec(),
--- a/src/core/replica/message.rs
+++ b/src/core/replica/message.rs
@@ -105,4 +105,6 @@
         /// Whether the sender recently verified that its state matches the log.
         is_following_log: bool,
     },
+    /// A drain that the sender is about to append to the log.
+    Announce(Box<Record>),
 }
--- a/src/core/replica/mod.rs
+++ b/src/core/replica/mod.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use self::{
+    announced::Announced,
     gossip::Gossip,
     proposals::Proposals,
     reader::Reader,
@@ -37,6 +38,7 @@
     time::Instant,
 };
 
+mod announced;
 mod gossip;
 mod message;
 mod proposals;
@@ -149,6 +151,7 @@
     members: Vec<Member>,
     reader: Reader,
     proposals: Proposals,
+    announced: Announced,
     snapshots: Snapshots,
     gossip: Gossip,
     reports: Reports,
@@ -174,6 +177,7 @@
             members: Vec::new(),
             reader: Reader::new(),
             proposals: Proposals::default(),
+            announced: Announced::default(),
             snapshots: Snapshots::default(),
             gossip: Gossip::default(),
             reports: Reports::default(),
@@ -196,6 +200,7 @@
         }
         self.evaluate_reports(now);
         if self.position != old_position {
+            self.settle_announced();
             self.resolve_proposals(now, &mut out);
             self.push_records(&mut out);
         }
@@ -252,6 +257,9 @@
                 self.on_entries(now, from, generation, items, out);
             }
             Message::Snapshot(snapshot) => self.on_snapshot(now, &snapshot),
+            Message::Announce(record) => {
+                self.on_announced(now, &record);
+            }
             Message::LossQuery { query } => self.on_loss_query(now, from, query, out),
             Message::LossReply {
                 reply_to,
--- a/src/core/replica/proposals.rs
+++ b/src/core/replica/proposals.rs
@@ -80,6 +80,7 @@
             self.append(record, out);
             return;
         }
+        self.announce(now, &record, out);
         self.proposals.pending.push(Pending {
             requester,
             record,
@@ -152,6 +153,9 @@
         if may_append && proposal.accepted_at.is_none() && now >= proposal.next_append_at {
             proposal.appended = true;
             proposal.next_append_at = now.after_ms(APPEND_RETRY_MS);
+            if now > proposal.proposed_at {
+                self.announce(now, &proposal.record, out);
+            }
             self.append(proposal.record.clone(), out);
         }
         false
--- a/src/core/replica/reader.rs
+++ b/src/core/replica/reader.rs
@@ -307,6 +307,7 @@
     /// Notes that all records that were in the log when a read was sent are applied.
     fn mark_fresh(&mut self, now: Instant, sent_at: Instant) {
         self.fresh_at = self.fresh_at.max(sent_at);
+        self.announced.expire(sent_at);
         if self.current || self.is_log_confirmed_by_peers(now) {
             self.mark_caught_up(now, "log");
         }
--- a/tests/core/replica.rs
+++ b/tests/core/replica.rs
@@ -405,3 +405,51 @@
     assert_eq!(replica.position().generation, 1);
     assert_eq!(replica.state().drained.len(), 1);
 }
+
+/// A drain lands in the log just before an outage, so that no host reads its record.
+#[test]
+fn announce_drain_log_fails_after_append() {
+    let mut replicas = replicas(9);
+    let target = Target::DataCentre("data-centre-0".into());
+    replicas.propose(1, drain("a", true));
+    while !replicas.truth.drained.contains_key(&target) {
+        replicas.run_ms(1);
+    }
+    replicas.log.down = true;
+    replicas.run_ms(2_000);
+    let is_respected = |replicas: &Replicas, process| {
+        let node = replicas.node(process);
+        let mut announced = node.announced_drains();
+        announced.any(|drain| *drain == target) || node.state().drained.contains_key(&target)
+    };
+    for process in 0..9 {
+        let is_read = replicas.node(process).state().drained.contains_key(&target);
+        assert!(!is_read, "host {process} has not read the record");
+        assert!(is_respected(&replicas, process), "host {process}");
+    }
+    replicas.run_ms(60_000);
+    assert!((0..9).all(|process| is_respected(&replicas, process)));
+    replicas.log.down = false;
+    replicas.run_ms(20_000);
+    for process in 0..9 {
+        assert_eq!(replicas.node(process).announced_drains().count(), 0);
+        let drained = &replicas.node(process).state().drained;
+        assert!(drained.contains_key(&target), "the record is read later");
+    }
+}
+
+/// A drain is announced, and its append is lost.
+#[test]
+fn announce_drain_never_appended() {
+    let mut replicas = replicas(9);
+    let (platform, host) = (replicas.driver.place(9), replicas.driver.place(1));
+    // No request of the host reaches the log, and the host does not know that yet.
+    replicas.driver.cut(host, platform, 120_000);
+    replicas.propose(1, drain("a", true));
+    replicas.run_ms(2_000);
+    // The cut hosts of that data centre can't send to the one of the log either.
+    assert_eq!(replicas.node(5).announced_drains().count(), 1);
+    replicas.run_ms(30_000);
+    assert_eq!(replicas.node(5).announced_drains().count(), 0);
+    assert!(replicas.node(5).state().drained.is_empty());
+}
