--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -57,6 +57,7 @@
 mod datagrams;
 mod forward;
 mod front;
+mod head_limit;
 mod log;
 mod metrics;
 mod net;
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -30,6 +30,10 @@
 
 use super::{
     clock::Clock,
+    head_limit::{
+        self,
+        Budget, //
+    },
     net, //
 };
 use crate::{
@@ -82,9 +86,15 @@
     IdleAtMost(u64),
 }
 
-struct IdleConnection {
+/// An open connection.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    budget: Budget,
+}
+
+struct IdleConnection {
+    connection: Connection,
     since: Instant,
     until: Instant,
 }
@@ -146,14 +156,14 @@
 pub struct Lease {
     pool: Rc<Pool>,
     peer: Name,
-    connection: Option<(SendRequest<Full<Bytes>>, AbortHandle)>,
+    connection: Option<Connection>,
     keep_ms: u64,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some((_, task)) = self.connection.take() {
-            task.abort();
+        if let Some(connection) = self.connection.take() {
+            connection.task.abort();
         }
     }
 }
@@ -161,18 +171,19 @@
 impl Lease {
     /// Returns the connection to the pool after its response was read completely.
     pub fn finish(mut self) {
-        let Some((mut sender, task)) = self.connection.take() else {
+        let Some(mut connection) = self.connection.take() else {
             return;
         };
         let pool = self.pool.clone();
         let peer = self.peer.clone();
         let keep_ms = self.keep_ms;
         tokio::task::spawn_local(async move {
-            let ready = tokio::time::timeout(Duration::from_millis(READY_MS), sender.ready());
+            let limit = Duration::from_millis(READY_MS);
+            let ready = tokio::time::timeout(limit, connection.sender.ready());
             if keep_ms > 0 && matches!(ready.await, Ok(Ok(()))) {
-                pool.put(peer, sender, task, keep_ms);
+                pool.put(peer, connection, keep_ms);
             } else {
-                task.abort();
+                connection.task.abort();
             }
         });
     }
@@ -188,29 +199,22 @@
         })
     }
 
-    fn put(
-        &self,
-        peer: Name,
-        sender: SendRequest<Full<Bytes>>,
-        task: AbortHandle,
-        keep_ms: u64, //
-    ) {
+    fn put(&self, peer: Name, connection: Connection, keep_ms: u64) {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(peer).or_default();
         if idle.len() >= MAX_IDLE_CONNECTIONS {
             let oldest = idle.remove(0);
-            oldest.task.abort();
+            oldest.connection.task.abort();
         }
         idle.push(IdleConnection {
-            sender,
-            task,
+            connection,
             since: now,
             until: now.after_ms(keep_ms),
         });
     }
 
-    fn take(&self, peer: &str, reuse: Reuse) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    fn take(&self, peer: &str, reuse: Reuse) -> Option<Connection> {
         let now = self.clock.now();
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(peer)?;
@@ -219,12 +223,13 @@
                 Reuse::Any => true,
                 Reuse::IdleAtMost(ms) => now.since_ms(last.since) <= ms,
             };
-            if now >= last.until || last.sender.is_closed() || !last.sender.is_ready() {
-                last.task.abort();
+            let sender = &last.connection.sender;
+            if now >= last.until || sender.is_closed() || !sender.is_ready() {
+                last.connection.task.abort();
                 continue;
             }
             if is_reusable {
-                return Some((last.sender, last.task));
+                return Some(last.connection);
             }
             idle.push(last);
             return None;
@@ -235,8 +240,8 @@
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         for (_, idle) in self.idle.borrow_mut().drain() {
-            for connection in idle {
-                connection.task.abort();
+            for idle in idle {
+                idle.connection.task.abort();
             }
         }
     }
@@ -245,10 +250,10 @@
     pub fn close_expired(&self) {
         let now = self.clock.now();
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|connection| {
-                let keep = now < connection.until && !connection.sender.is_closed();
+            idle.retain(|idle| {
+                let keep = now < idle.until && !idle.connection.sender.is_closed();
                 if !keep {
-                    connection.task.abort();
+                    idle.connection.task.abort();
                 }
                 keep
             });
@@ -263,7 +268,7 @@
         if let Some(idle) = self.idle.borrow_mut().get_mut(peer) {
             let surplus = surplus.min(idle.len());
             for oldest in idle.drain(..surplus) {
-                oldest.task.abort();
+                oldest.connection.task.abort();
             }
         }
     }
@@ -273,13 +278,14 @@
         peer: &Name,
         address: SocketAddr,
         max_open: usize,
-    ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), Error> {
+    ) -> Result<Connection, Error> {
         self.make_room(peer, max_open);
         let open = Open::new(self, peer);
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
         let stream = net::connect(address, CONNECT_MS)
             .await
             .map_err(|error| not_sent(&error))?;
+        let (stream, budget) = head_limit::Stream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -290,7 +296,11 @@
             // The task that awaits the response sees the error.
             let _ = connection.await;
         });
-        Ok((sender, task.abort_handle()))
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            budget,
+        })
     }
 
     /// Sends a repeatable request to a peer without a limit on connections, and reads the complete
@@ -333,7 +343,11 @@
         loop {
             let reused = self.take(peer, reuse);
             let is_new = reused.is_none();
-            let (mut sender, task) = match reused {
+            let Connection {
+                mut sender,
+                task,
+                budget,
+            } = match reused {
                 Some(connection) => connection,
                 None => self.open(peer, address, max_open).await?,
             };
@@ -346,10 +360,16 @@
                 keep_ms: 0,
             };
             let abort = AbortOnDrop(Some(task));
+            budget.start();
             match sender.try_send_request(request).await {
                 Ok(response) => {
+                    budget.lift();
                     lease.keep_ms = keep_ms(&response);
-                    lease.connection = abort.disarm().map(|task| (sender, task));
+                    lease.connection = abort.disarm().map(|task| Connection {
+                        sender,
+                        task,
+                        budget,
+                    });
                     return Ok((response, lease));
                 }
                 Err(mut error) => match error.take_message() {
