Log how far an answer had come and the parts of the prompt of a failed attempt

The logs couldn't tell a prompt that crashes servers from bad memory fetched from another server: 'attempt failed' named neither the parts of the prompt nor whether the server had begun to answer. No decision changes.

--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -31,7 +31,10 @@
             Answer,
             Lease, //
         },
-        log::Event,
+        log::{
+            Event,
+            Progress, //
+        },
         upstream, //
     },
 };
@@ -144,6 +147,7 @@
                         outcome: Outcome::NotSent,
                         reason: error.to_string(),
                         server: None,
+                        progress: Progress::None,
                     });
                 }
             }
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -30,7 +30,10 @@
         retry::Outcome,
         stream::Framer, //
     },
-    shell::gateway::upstream::Lease,
+    shell::gateway::{
+        log::Progress,
+        upstream::Lease, //
+    },
 };
 
 /// Maximum size of a response that isn't a stream, in bytes.
@@ -54,6 +57,7 @@
             outcome,
             reason,
             server: Some(server.clone()),
+            progress: Progress::Head,
         };
         let status = response.status();
         let echo = header_text(response.headers(), &names.request);
@@ -146,6 +150,7 @@
                     outcome: Outcome::Lost,
                     reason,
                     server: Some(server),
+                    progress: Progress::Head,
                 })
             }
         }
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -21,10 +21,16 @@
     stream::Stream,
 };
 use crate::{
-    core::gateway::retry::Outcome,
+    core::gateway::{
+        balance,
+        retry::Outcome, //
+    },
     names::Name,
     shell::gateway::{
-        log::Event,
+        log::{
+            Event,
+            Progress, //
+        },
         upstream::{
             self,
             Reuse, //
@@ -41,6 +47,7 @@
     pub(super) outcome: Outcome,
     pub(super) reason: String,
     pub(super) server: Option<Name>,
+    pub(super) progress: Progress,
 }
 
 /// A server's response to an attempt.
@@ -69,6 +76,8 @@
                 } else {
                     "once"
                 },
+                progress: failure.progress,
+                parts: balance::shared_segments(&self.prompt),
                 ms: self.elapsed_ms(),
             });
         }
@@ -87,6 +96,7 @@
             outcome,
             reason,
             server: Some(server.clone()),
+            progress: Progress::None,
         };
         let Some(entry) = entry else {
             return Err(failure(Outcome::NotSent, "server gone".to_string()));
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -15,12 +15,16 @@
 use tokio::sync::mpsc;
 
 use crate::core::gateway::{
+    balance,
     config::Kind,
     retry::Outcome,
     stream::Framer, //
 };
 use crate::shell::gateway::{
-    log::Event,
+    log::{
+        Event,
+        Progress, //
+    },
     upstream::Lease, //
 };
 
@@ -168,6 +172,8 @@
         server: &server,
         end: reason,
         next: "resume",
+        progress: Progress::Events,
+        parts: balance::shared_segments(&exchange.prompt),
         ms: exchange.elapsed_ms(),
     });
     let resumes = matches!(exchange.route.kind, Kind::Stream { resumes: true });
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -9,6 +9,7 @@
 
 use super::clock::Clock;
 use crate::{
+    core::gateway::balance::Segment,
     names::Name,
     time::Instant, //
 };
@@ -17,6 +18,32 @@
 /// a host logs at the highest load that it can serve.
 const MAX_LINES_PER_S: u32 = 600;
 
+/// How far a server's answer to an attempt had come when the attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing of the answer had arrived.
+    None,
+    /// The head had arrived, and no event or complete body.
+    Head,
+    /// Events had arrived.
+    Events,
+}
+
+impl Progress {
+    fn text(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Head => "head",
+            Self::Events => "events",
+        }
+    }
+}
+
+fn part_ids(parts: &[Segment]) -> String {
+    let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
+    ids.join(",")
+}
+
 /// A decision, or a change in the state that the process knows.
 #[derive(Debug)]
 pub enum Event<'a> {
@@ -149,6 +176,10 @@
         end: &'a str,
         /// How the request may continue: `repeatable`, `once` or `resume`.
         next: &'static str,
+        /// How far the server's answer had come.
+        progress: Progress,
+        /// Ids of the parts of the prompt that other requests may share.
+        parts: &'a [Segment],
         /// Time since the request arrived.
         ms: u64,
     },
@@ -325,9 +356,12 @@
                 server,
                 end,
                 next,
+                progress,
+                parts,
                 ms,
             } => slog::info!(log, "attempt failed"; "request" => request, "server" => %server,
-                "end" => end, "next" => next, "ms" => ms),
+                "end" => end, "next" => next, "progress" => progress.text(),
+                "parts" => part_ids(parts), "ms" => ms),
             Event::Answered {
                 request,
                 route,
