Quarantine prompt parts that crash servers one after the other

Cause: a failure was remembered only by server and host. The class of fault is a poison message: containment keyed by the victim and not by the cause, and local to one observer.

Hosts now share crashes and answers by datagrams and heartbeats, and each derives from them which part explains several crashes. It refuses requests with that part at once. A verdict isn't shared, so one from too little evidence doesn't last.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -20,6 +20,7 @@
 use super::{
     balance,
     mac::Key,
+    quarantine,
     quota, //
 };
 use crate::{
@@ -71,6 +72,8 @@
     pub key: Option<Key>,
     /// Capacity of its processor, in thousandths of a core.
     pub capacity: u32,
+    /// What the host reports about crashes of servers.
+    pub report: quarantine::Report,
 }
 
 /// A host and its last heartbeat.
@@ -175,6 +178,16 @@
         Some(now.since_ms(received_at.max(self.store_recovered_at)))
     }
 
+    /// Returns the number of known hosts, live or dead.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns whether no host is known.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
     /// Returns the live hosts.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Host> {
         self.hosts.values().filter(move |host| {
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod lookup;
 pub mod mac;
 pub mod plan;
+pub mod quarantine;
 pub mod quota;
 pub mod rate;
 pub mod recent;
--- a/src/shell/gateway/clock.rs
+++ b/src/shell/gateway/clock.rs
@@ -2,6 +2,7 @@
 
 use rustix::time::{
     ClockId,
+    Timespec,
     clock_gettime, //
 };
 
@@ -27,8 +28,16 @@
     }
 }
 
+/// Returns the time of day, in milliseconds of Unix time.
+pub fn unix_ms() -> u64 {
+    ms(clock_gettime(ClockId::Realtime))
+}
+
 fn boot_ms() -> u64 {
-    let time = clock_gettime(ClockId::Boottime);
+    ms(clock_gettime(ClockId::Boottime))
+}
+
+fn ms(time: Timespec) -> u64 {
     let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
     let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
     seconds * 1_000 + nanoseconds / 1_000_000
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -16,7 +16,10 @@
 };
 use tokio::net::UdpSocket;
 
-use super::Gateway;
+use super::{
+    Gateway,
+    quarantines, //
+};
 use crate::core::gateway::{
     dispatch::{
         Ask,
@@ -24,7 +27,8 @@
         Report, //
     },
     hosts::Heartbeat,
-    mac::MAC_BYTES, //
+    mac::MAC_BYTES,
+    quarantine, //
 };
 
 mod assignments;
@@ -45,6 +49,9 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_300 + MAC_BYTES;
 
+/// Maximum number of clearances in one datagram.
+const MAX_CLEARANCES: usize = 60;
+
 /// Content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -52,6 +59,7 @@
     Ask { number: u64, ask: Ask },
     Reply { number: u64, reply: Reply },
     Reports(Vec<Report>),
+    Quarantine(quarantine::Report),
 }
 
 /// State of the exchange of datagrams.
@@ -97,6 +105,32 @@
     }
 }
 
+/// Sends a report on crashes to all hosts, one crash in each datagram. Quarantines go with heartbeats:
+/// the hosts derive them from the crashes.
+pub(super) fn send_report(gateway: &Gateway, report: &quarantine::Report) {
+    let crashes = report.crashes.iter().cloned();
+    let mut parts: Vec<quarantine::Report> = crashes
+        .map(|crash| quarantine::Report {
+            crashes: vec![crash],
+            ..quarantine::Report::default()
+        })
+        .collect();
+    let clearances = report.clearances.chunks(MAX_CLEARANCES);
+    parts.extend(clearances.map(|clearances| quarantine::Report {
+        clearances: clearances.to_vec(),
+        ..quarantine::Report::default()
+    }));
+    let hosts = gateway.hosts.borrow();
+    for part in parts {
+        let message = Message::Quarantine(part);
+        for host in hosts.live(gateway.now()) {
+            if host.heartbeat.host != gateway.identity.host {
+                send(gateway, &host.heartbeat, &message);
+            }
+        }
+    }
+}
+
 async fn flush(gateway: Rc<Gateway>) {
     loop {
         tokio::time::sleep(Duration::from_millis(SEND_INTERVAL_MS)).await;
@@ -130,6 +164,7 @@
                 assignments::receive(&gateway, from, number, reply);
             }
             Ok(Message::Reports(reports)) => assignments::record(&gateway, &reports),
+            Ok(Message::Quarantine(report)) => quarantines::merge(&gateway, report),
             Err(_) => {}
         }
     }
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -25,6 +25,7 @@
 use crate::shell::gateway::{
     Gateway,
     log::Event,
+    quarantines,
     stages, //
 };
 use crate::{
@@ -82,6 +83,9 @@
 /// Maximum number of prompt segments read from the header.
 const MAX_SEGMENTS: usize = 16;
 
+/// Reason of a refusal for a quarantined part of the prompt.
+const QUARANTINED: &str = "a part of the prompt crashes servers";
+
 /// Counts a request as running until this is dropped.
 struct Running(Rc<Gateway>);
 
@@ -275,8 +279,10 @@
 }
 
 async fn run(exchange: &Rc<Exchange>) -> Result<Response<Body>, Refusal> {
+    exchange.check_quarantine()?;
     exchange.run_stages().await?;
     loop {
+        exchange.check_quarantine()?;
         let answer = exchange.attempt(None).await;
         let (outcome, answer) = match answer {
             Ok(Answer::Stream(stream)) => return Ok(stream.respond(exchange)),
@@ -304,7 +310,10 @@
                 }
             }
             Action::Retry => {}
-            Action::Refuse => return Err(Refusal::not_run(reason)),
+            Action::Refuse => {
+                exchange.check_quarantine()?;
+                return Err(Refusal::not_run(reason));
+            }
             Action::Fail => {
                 return Err(Refusal::may_have_run(StatusCode::BAD_GATEWAY, reason));
             }
@@ -326,6 +335,25 @@
         }
     }
 
+    /// Refuses the request if a part of its prompt is quarantined. The caller is told when the quarantine
+    /// ends: until then any repetition would be refused.
+    fn check_quarantine(&self) -> Result<(), Refusal> {
+        let Some((part, left_ms)) = quarantines::find(&self.gateway, &self.prompt) else {
+            return Ok(());
+        };
+        self.gateway.log.write(&Event::Quarantined {
+            request: &self.id,
+            part: &part.id,
+            left_ms,
+        });
+        if self.may_have_run.get() {
+            return Err(Refusal::may_have_run(StatusCode::BAD_GATEWAY, QUARANTINED));
+        }
+        let mut refusal = Refusal::not_run(QUARANTINED);
+        refusal.retry_after_s = Some(left_ms as f64 / 1_000.0);
+        Err(refusal)
+    }
+
     fn priority(&self) -> u8 {
         let organisation = self.organisation.as_ref();
         let priority = organisation.and_then(|organisation| organisation.priority);
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -32,6 +32,7 @@
     },
     shell::gateway::{
         log::Progress,
+        quarantines,
         upstream::Lease, //
     },
 };
@@ -39,6 +40,13 @@
 /// Maximum size of a response that isn't a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Response of a server whose body is unread.
+pub(super) struct Received {
+    pub(super) response: Response<Incoming>,
+    pub(super) lease: Lease,
+    pub(super) sent_unix_ms: u64,
+}
+
 impl Exchange {
     /// Checks the head of a response and reads its body, or the first events of a stream.
     ///
@@ -46,11 +54,11 @@
     pub(super) async fn receive(
         &self,
         slot: Slot,
-        response: Response<Incoming>,
-        lease: Lease,
+        received: Received,
         may_have_run_before: bool,
         resume: Option<u64>,
     ) -> Result<Answer, Error> {
+        let response = &received.response;
         let server = slot.server();
         let names = self.gateway.adapter.headers();
         let failure = |outcome: Outcome, reason: String| Error {
@@ -73,9 +81,9 @@
         }
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
             self.may_have_run.set(may_have_run_before);
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
             if body.collect().await.is_ok() && is_named {
-                lease.finish();
+                received.lease.finish();
             }
             slot.release(status.as_u16() == 421);
             return Err(failure(
@@ -93,8 +101,13 @@
             ));
         }
         if self.route.kind.is_stream() && status.is_success() {
-            return self.receive_stream(slot, response, lease, resume).await;
+            return self.receive_stream(slot, received, resume).await;
         }
+        let Received {
+            response,
+            lease,
+            sent_unix_ms,
+        } = received;
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
             Ok(body) => {
@@ -102,6 +115,9 @@
                     lease.finish();
                 }
                 slot.release(status.is_server_error());
+                if status.is_success() {
+                    quarantines::observe_answer(&self.gateway, sent_unix_ms, &self.prompt);
+                }
                 Ok(Answer::Whole(Response::from_parts(head, body.to_bytes())))
             }
             Err(error) => {
@@ -114,16 +130,16 @@
     pub(super) async fn receive_stream(
         &self,
         slot: Slot,
-        response: Response<Incoming>,
-        lease: Lease,
+        received: Received,
         resume: Option<u64>,
     ) -> Result<Answer, Error> {
         let server = slot.server();
-        let (head, body) = response.into_parts();
+        let (head, body) = received.response.into_parts();
         let mut source = Source {
             body,
-            lease: Some(lease),
+            lease: Some(received.lease),
             slot,
+            sent_unix_ms: received.sent_unix_ms,
             framer: Framer::resume_after(resume),
         };
         match source.next().await {
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -12,8 +12,9 @@
 use http_body_util::Full;
 
 use super::{
-    Exchange,
+    Exchange, QUARANTINED,
     assign::Slot,
+    receive::Received,
     reply::{
         HOP_HEADERS,
         header_text, //
@@ -23,14 +24,17 @@
 use crate::{
     core::gateway::{
         balance,
-        retry::Outcome, //
+        retry::Outcome,
+        servers::Entry, //
     },
     names::Name,
     shell::gateway::{
+        clock,
         log::{
             Event,
             Progress, //
         },
+        quarantines,
         upstream::{
             self,
             Reuse, //
@@ -61,9 +65,30 @@
     pub(super) async fn attempt(&self, resume: Option<u64>) -> Result<Answer, Error> {
         let slot = self.assign().await?;
         let server = slot.server();
+        if quarantines::find(&self.gateway, &self.prompt).is_some() {
+            // A part was quarantined while the request waited. No server may get it.
+            self.is_exhausted.set(true);
+            return Err(Error {
+                outcome: Outcome::NotSent,
+                reason: QUARANTINED.to_string(),
+                server: None,
+                progress: Progress::None,
+            });
+        }
         self.tried.borrow_mut().push(server.clone());
-        let result = self.send(slot, resume).await;
+        let entry = self
+            .gateway
+            .servers
+            .borrow()
+            .get(&server)
+            .map(|server| server.entry.clone());
+        let result = self.send(slot, entry.as_ref(), resume).await;
         if let Err(failure) = &result {
+            if failure.outcome == Outcome::Lost
+                && let Some(entry) = entry
+            {
+                quarantines::observe_loss(&self.gateway, entry, &self.prompt);
+            }
             self.gateway
                 .metrics
                 .count_attempt(&self.service, &failure.reason);
@@ -84,14 +109,13 @@
         result
     }
 
-    pub(super) async fn send(&self, slot: Slot, resume: Option<u64>) -> Result<Answer, Error> {
+    async fn send(
+        &self,
+        slot: Slot,
+        entry: Option<&Entry>,
+        resume: Option<u64>,
+    ) -> Result<Answer, Error> {
         let server = slot.server();
-        let entry = self
-            .gateway
-            .servers
-            .borrow()
-            .get(&server)
-            .map(|server| server.entry.clone());
         let failure = |outcome: Outcome, reason: String| Error {
             outcome,
             reason,
@@ -120,6 +144,7 @@
         let hosts = self.gateway.overview().group.size();
         // The request may run from here on, unless the response says otherwise. The flag has to be
         // set before the wait, which a deadline can cancel.
+        let sent_unix_ms = clock::unix_ms();
         let may_have_run_before = self.may_have_run.replace(true);
         let sent = self
             .gateway
@@ -144,8 +169,12 @@
                 return Err(failure(Outcome::Lost, reason));
             }
         };
-        self.receive(slot, response, lease, may_have_run_before, resume)
-            .await
+        let reply = Received {
+            response,
+            lease,
+            sent_unix_ms,
+        };
+        self.receive(slot, reply, may_have_run_before, resume).await
     }
 
     pub(super) fn request(
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -25,6 +25,7 @@
         Event,
         Progress, //
     },
+    quarantines,
     upstream::Lease, //
 };
 
@@ -53,6 +54,7 @@
     pub(super) body: Incoming,
     pub(super) lease: Option<Lease>,
     pub(super) slot: Slot,
+    pub(super) sent_unix_ms: u64,
     pub(super) framer: Framer,
 }
 
@@ -137,7 +139,11 @@
                     return false;
                 }
             }
-            Chunk::End => return true,
+            Chunk::End => {
+                let sent_unix_ms = source.sent_unix_ms;
+                quarantines::observe_answer(&exchange.gateway, sent_unix_ms, &exchange.prompt);
+                return true;
+            }
             Chunk::Lost(reason) => match resume(exchange, source, &reason).await {
                 Some(next) => {
                     let (next, events) = next;
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -9,7 +9,11 @@
 
 use super::clock::Clock;
 use crate::{
-    core::gateway::balance::Segment,
+    core::gateway::{
+        balance::Segment,
+        cache,
+        quarantine, //
+    },
     names::Name,
     time::Instant, //
 };
@@ -39,9 +43,16 @@
     }
 }
 
+/// Formats the hash of a part's id, which is all that a host knows of parts that others reported.
+fn part_key(key: cache::Key) -> String {
+    format!("{key:016x}")
+}
+
 fn part_ids(parts: &[Segment]) -> String {
-    let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
-    ids.join(",")
+    let texts = parts
+        .iter()
+        .map(|part| format!("{} ({})", part.id, part_key(cache::key(part))));
+    texts.collect::<Vec<_>>().join(", ")
 }
 
 /// A decision, or a change in the state that the process knows.
@@ -183,6 +194,27 @@
         /// Time since the request arrived.
         ms: u64,
     },
+    /// A server crashed before its answer to a request began.
+    Crash {
+        /// The server.
+        server: &'a Name,
+        /// Ids of the parts of the prompt that other requests may share.
+        parts: &'a [Segment],
+    },
+    /// A part of prompts was quarantined, or its quarantine ended.
+    Quarantine {
+        /// What changed.
+        change: &'a quarantine::Change,
+    },
+    /// A request has a quarantined part.
+    Quarantined {
+        /// The request.
+        request: &'a str,
+        /// The part.
+        part: &'a Name,
+        /// Remaining time of the quarantine.
+        left_ms: u64,
+    },
     /// A server's response was forwarded.
     Answered {
         /// Its id.
@@ -362,6 +394,23 @@
             } => slog::info!(log, "attempt failed"; "request" => request, "server" => %server,
                 "end" => end, "next" => next, "progress" => progress.text(),
                 "parts" => part_ids(parts), "ms" => ms),
+            Event::Crash { server, parts } => {
+                slog::warn!(log, "crash"; "server" => %server, "parts" => part_ids(parts));
+            }
+            Event::Quarantine { change } => match change {
+                quarantine::Change::Added { part, crashes } => {
+                    slog::warn!(log, "quarantine"; "part" => part_key(*part), "crashes" => crashes);
+                }
+                quarantine::Change::Lifted { part } => {
+                    slog::warn!(log, "quarantine lifted"; "part" => part_key(*part));
+                }
+            },
+            Event::Quarantined {
+                request,
+                part,
+                left_ms,
+            } => slog::info!(log, "quarantined"; "request" => request, "part" => %part,
+                "left_ms" => left_ms),
             Event::Answered {
                 request,
                 route,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -27,6 +27,8 @@
     pub batch_pieces: Histogram<u64>,
     /// Failed attempts at servers by service and reason.
     pub attempts: Counter<u64>,
+    /// Attempts whose server crashed before its answer began, by service.
+    pub crashes: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
 }
@@ -48,6 +50,7 @@
             stage_ms: histogram("gateway_stage_ms"),
             batch_pieces: histogram("gateway_batch_pieces"),
             attempts: counter("gateway_attempts"),
+            crashes: counter("gateway_crashes"),
             store_calls: counter("gateway_store_calls"),
             exporter,
         })
@@ -67,6 +70,11 @@
         self.requests.add(1, &labels);
     }
 
+    /// Counts an attempt whose server crashed.
+    pub fn count_crash(&self, service: &str) {
+        self.crashes.add(1, &[label("service", service)]);
+    }
+
     /// Counts a failed attempt at a server.
     pub fn count_attempt(&self, service: &str, end: &str) {
         let labels = [label("service", service), label("end", end)];
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -37,6 +37,7 @@
         hosts,
         mac::Key,
         plan,
+        quarantine,
         servers,
         spillover, //
     },
@@ -63,6 +64,7 @@
 mod net;
 mod overview;
 mod peers;
+mod quarantines;
 mod stages;
 mod store;
 mod upstream;
@@ -110,6 +112,7 @@
     datagrams: datagrams::State,
     overview: RefCell<Option<Rc<Overview>>>,
     spillover: RefCell<spillover::Table>,
+    quarantine: RefCell<quarantine::Table>,
     pool: Rc<upstream::Pool>,
     store: store::State,
     /// Key with which other hosts seal their messages to this host.
@@ -240,6 +243,7 @@
         datagrams: datagrams::State::default(),
         overview: RefCell::default(),
         spillover: RefCell::default(),
+        quarantine: RefCell::default(),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
         key: OnceCell::new(),
@@ -271,6 +275,7 @@
             gateway.log.write(&Event::Server { id, change: "gone" });
         }
         gateway.pool.close_expired();
+        quarantines::expire(&gateway);
         stages::tick(&gateway);
     }
 }
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -194,7 +194,7 @@
         wait_ms: u64,
     },
     /// Writes a heartbeat.
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
 }
 
 /// Outcome of a relayed call.
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -8,7 +8,8 @@
 use crate::shell::gateway::{
     Gateway,
     log::Event,
-    peers::Snapshot, //
+    peers::Snapshot,
+    quarantines, //
 };
 use crate::{
     core::gateway::{
@@ -61,6 +62,7 @@
     if !state.has_read(Topic::Hosts) {
         let others = snapshot.hosts.into_iter();
         for heartbeat in others.filter(|heartbeat| heartbeat.host != gateway.identity.host) {
+            quarantines::merge(gateway, heartbeat.report.clone());
             gateway.hosts.borrow_mut().record(now, heartbeat, false);
         }
     }
@@ -195,6 +197,9 @@
         // A key that is already set is the same one.
         let _ = gateway.key.set(key.clone());
     }
+    if heartbeat.host != gateway.identity.host || is_old {
+        quarantines::merge(gateway, heartbeat.report.clone());
+    }
     let name = heartbeat.host.clone();
     let serving = heartbeat.serving;
     let now = gateway.now();
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -37,6 +37,7 @@
             Relay,
             Relayed, //
         },
+        quarantines,
     },
 };
 
@@ -51,6 +52,9 @@
 /// Number of writers that are tried. The store may refuse one of them alone.
 const MAX_WRITERS: usize = 2;
 
+/// Minimum interval between heartbeats.
+const MIN_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Name of the writer's task in the selection of its host.
 const WRITER_TASK: &str = "heartbeats";
 
@@ -119,7 +123,7 @@
             is_refused = true;
             continue;
         }
-        let message = Relay::Heartbeat(heartbeat.clone());
+        let message = Relay::Heartbeat(Box::new(heartbeat.clone()));
         let timeout_ms = GATHER_MS + CALL_TIMEOUT_MS;
         match peers::relay(gateway, address, &message, timeout_ms).await {
             Ok(Relayed::Answer(_)) => return Ok(()),
@@ -134,7 +138,7 @@
 }
 
 async fn send_directly(gateway: &Gateway, heartbeat: &Heartbeat) -> Result<(), Error> {
-    let message = Relay::Heartbeat(heartbeat.clone());
+    let message = Relay::Heartbeat(Box::new(heartbeat.clone()));
     call(gateway, message, CALL_TIMEOUT_MS).await?;
     Ok(())
 }
@@ -174,6 +178,7 @@
         serving: gateway.leaving_since.get().is_none(),
         key: gateway.key.get().cloned(),
         capacity: gateway.options.borrow().process.processor,
+        report: quarantines::heartbeat_report(gateway),
     }
 }
 
@@ -203,10 +208,19 @@
         } else {
             KEY_CHECK_INTERVAL_MS
         };
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        let pause = Duration::from_millis(pause_ms);
+        // The minimum bounds the calls to the store while servers crash.
+        tokio::time::sleep(pause.min(MIN_INTERVAL)).await;
+        let rest = pause.saturating_sub(MIN_INTERVAL);
+        let _ = tokio::time::timeout(rest, gateway.store.hasten.notified()).await;
     }
 }
 
+/// Has the next heartbeat written soon, since it has a new report.
+pub(in crate::shell::gateway) fn hasten(gateway: &Gateway) {
+    gateway.store.hasten.notify_one();
+}
+
 /// Announces to other hosts that this one no longer serves callers.
 pub(in crate::shell::gateway) async fn announce_leave(gateway: &Gateway) {
     let heartbeat = heartbeat(gateway);
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -53,7 +53,10 @@
     apply,
     remove_missing, //
 };
-pub(super) use heartbeats::announce_leave;
+pub(super) use heartbeats::{
+    announce_leave,
+    hasten as hasten_heartbeat, //
+};
 pub(super) use shared::recent;
 
 /// Maximum duration of a long poll for the operators' next record, in milliseconds. Short, so that a
@@ -114,6 +117,8 @@
     // Notified at each of them.
     read_done: Notify,
     heartbeats: heartbeats::Outbox,
+    // Notified when the next heartbeat is due early.
+    hasten: Notify,
     // Topics that were read once.
     loaded_topics: RefCell<BTreeSet<Topic>>,
     // When this host last read topics that their readers can't.
@@ -235,7 +240,7 @@
         Relay::Newest { .. } => CALL_TIMEOUT_MS,
         Relay::Tail { wait_ms, .. } => (*wait_ms).min(LONG_POLL_MS) + CALL_TIMEOUT_MS,
         Relay::Heartbeat(heartbeat) => {
-            let is_written = heartbeats::gather(gateway, heartbeat.clone()).await;
+            let is_written = heartbeats::gather(gateway, (**heartbeat).clone()).await;
             return if is_written {
                 Relayed::Answer(Bytes::new())
             } else {
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -7,6 +7,7 @@
         Table, //
     },
     lookup,
+    quarantine::Report, //
 };
 
 use super::at;
@@ -26,6 +27,7 @@
         serving: true,
         key: None,
         capacity: 250,
+        report: Report::default(),
     }
 }
 
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod mac;
 mod plan;
+mod quarantine;
 mod quota;
 mod rate;
 mod recent;
--- /dev/null
+++ b/tests/core/gateway/quarantine.rs
@@ -0,0 +1,546 @@
+use std::collections::BTreeMap;
+
+use teaselchute::core::gateway::{
+    balance::Segment,
+    cache,
+    quarantine::{
+        Change,
+        Incarnation,
+        MIN_CRASHES,
+        RETENTION_MS,
+        Report,
+        Scope,
+        Table, //
+    },
+};
+
+/// Part that crashes servers.
+const BAD: &str = "bad";
+
+/// Unix time at the start of a test, in milliseconds.
+const START_UNIX_MS: u64 = 1_790_000_000_000;
+
+fn unix(ms: u64) -> u64 {
+    START_UNIX_MS + ms
+}
+
+fn server(name: &str) -> Incarnation {
+    (name.into(), Some(1))
+}
+
+/// A prompt with these shared parts and one of its own.
+fn prompt(parts: &[&str]) -> Vec<Segment> {
+    let parts = parts.iter().chain(&["own"]);
+    let segment = |id: &&str| Segment {
+        id: (*id).into(),
+        tokens: 100,
+    };
+    parts.map(segment).collect()
+}
+
+fn is_quarantined(table: &Table, ms: u64, parts: &[&str]) -> bool {
+    table.find(unix(ms), &prompt(parts)).is_some()
+}
+
+fn crash(table: &mut Table, ms: u64, name: &str, parts: &[&str]) -> Vec<Change> {
+    table.record_crash(unix(ms), server(name), &prompt(parts))
+}
+
+/// Crashes servers one after the other, and returns the time after the last crash.
+fn crash_all(table: &mut Table, prompts: &[&[&str]]) -> u64 {
+    for (index, parts) in (0..).zip(prompts) {
+        crash(table, index * 1_000, &format!("s-{index}"), parts);
+    }
+    prompts.len() as u64 * 1_000
+}
+
+#[test]
+fn find_part_of_all_crashes() {
+    let mut table = Table::default();
+    let end = crash_all(&mut table, &[&["a", BAD], &["b", BAD]]);
+    assert!(!is_quarantined(&table, end, &["a", BAD]));
+    let changes = crash(&mut table, end, "s", &["c", BAD]);
+    let part = cache::key(&prompt(&[BAD])[0]);
+    assert_eq!(
+        changes,
+        [Change::Added {
+            part,
+            crashes: MIN_CRASHES
+        }]
+    );
+    assert!(is_quarantined(&table, end, &["d", BAD]));
+    for sound in ["a", "b", "c"] {
+        assert!(!is_quarantined(&table, end, &[sound]));
+        assert!(!is_quarantined(&table, end, &[sound, "other"]));
+    }
+}
+
+/// The last part belongs to the request itself.
+#[test]
+fn find_last_part() {
+    let mut table = Table::default();
+    for (index, name) in ["s", "t", "u"].iter().enumerate() {
+        crash(&mut table, index as u64 * 1_000, name, &[]);
+    }
+    assert!(table.is_empty());
+}
+
+/// Parts that always came together can't be told apart, so only prompts with both are refused.
+#[test]
+fn find_parts_that_come_together() {
+    let mut table = Table::default();
+    let end = crash_all(&mut table, &[&["a", BAD], &["a", BAD], &["a", BAD]]);
+    assert!(is_quarantined(&table, end, &["a", BAD]));
+    assert!(!is_quarantined(&table, end, &["a", "other"]));
+    // A crash under another prompt with the part tells them apart.
+    assert!(!is_quarantined(&table, end, &["b", BAD]));
+    crash(&mut table, end, "s", &["b", BAD]);
+    assert!(is_quarantined(&table, end, &["c", BAD]));
+    assert!(!is_quarantined(&table, end, &["a", "other"]));
+}
+
+/// An answer tells them apart too.
+#[test]
+fn find_parts_that_come_together_one_answered() {
+    let mut table = Table::default();
+    let end = crash_all(&mut table, &[&["a", BAD], &["a", BAD], &["a", BAD]]);
+    table.record_answer(unix(end), unix(end - 100), &prompt(&["a", "other"]));
+    assert!(is_quarantined(&table, end, &["b", BAD]));
+    assert!(!is_quarantined(&table, end, &["a", "other"]));
+}
+
+/// Sound requests wait at the servers that crash, and other servers crash as well.
+#[test]
+fn find_among_sound_prompts() {
+    let mut table = Table::default();
+    for index in 0..3_u64 {
+        let name = format!("s-{index}");
+        crash(&mut table, index * 2_000, &name, &["a", BAD]);
+        crash(&mut table, index * 2_000, &name, &["a", "x"]);
+        crash(&mut table, index * 2_000, &name, &["b", "y"]);
+        let name = format!("t-{index}");
+        crash(&mut table, index * 2_000 + 900, &name, &["b", "x"]);
+        crash(&mut table, index * 2_000 + 900, &name, &["c", "y"]);
+        let sent_at = unix(index * 2_000 + 950);
+        for parts in [["a", "x"], ["b", "y"], ["c", "x"]] {
+            table.record_answer(unix(index * 2_000 + 1_500), sent_at, &prompt(&parts));
+        }
+    }
+    assert!(is_quarantined(&table, 6_000, &["c", BAD]));
+    assert_eq!(table.len(), 1);
+    for parts in [["a", "x"], ["b", "y"], ["c", "x"], ["c", "y"]] {
+        assert!(!is_quarantined(&table, 6_000, &parts), "{parts:?}");
+    }
+}
+
+/// Requests with a hot part are at many servers when these crash together.
+#[test]
+fn find_servers_crash_together() {
+    let mut table = Table::default();
+    for index in 0..20 {
+        crash(&mut table, 1_000 + index * 5, &format!("s-{index}"), &["a"]);
+    }
+    assert!(table.is_empty());
+}
+
+#[test]
+fn find_answers_between_crashes() {
+    let mut table = Table::default();
+    for index in 0..10 {
+        crash(
+            &mut table,
+            index * 1_000,
+            &format!("s-{index}"),
+            &["a", "b"],
+        );
+        let sent_at = unix(index * 1_000 + 100);
+        table.record_answer(unix(index * 1_000 + 500), sent_at, &prompt(&["a", "b"]));
+    }
+    assert!(table.is_empty());
+}
+
+/// Answers to requests that were sent before the part turned bad say nothing about it.
+#[test]
+fn record_answer_sent_before_crashes() {
+    let mut table = Table::default();
+    for index in 1..4 {
+        crash(&mut table, index * 1_000, &format!("s-{index}"), &[BAD]);
+        table.record_answer(unix(index * 1_000 + 10), unix(900), &prompt(&[BAD]));
+    }
+    assert!(is_quarantined(&table, 4_000, &[BAD]));
+}
+
+#[test]
+fn record_answer_lifts() {
+    let mut table = Table::default();
+    let end = crash_all(&mut table, &[&["a"], &["a"], &["a"]]);
+    assert!(is_quarantined(&table, end, &["a"]));
+    let (is_new, changes) = table.record_answer(unix(end), unix(2_500), &prompt(&["a"]));
+    assert!(is_new);
+    assert!(matches!(changes[..], [Change::Lifted { .. }]));
+    assert!(!is_quarantined(&table, end, &["a"]));
+    // It is quarantined again after as many crashes.
+    for index in 0..MIN_CRASHES as u64 {
+        assert!(!is_quarantined(&table, end, &["a"]));
+        crash(
+            &mut table,
+            end + index * 1_000,
+            &format!("t-{index}"),
+            &["a"],
+        );
+    }
+    assert!(is_quarantined(&table, end + 3_000, &["a"]));
+}
+
+/// A quarantine ends when too few crashes are known. Then one more is enough for the next.
+#[test]
+fn expire_after_time() {
+    let mut table = Table::default();
+    crash_all(&mut table, &[&[BAD], &[BAD], &[BAD]]);
+    let (_, left_ms) = table
+        .find(unix(3_000), &prompt(&[BAD]))
+        .expect("it is quarantined");
+    assert_eq!(left_ms, RETENTION_MS - 3_000);
+    assert!(table.expire(unix(RETENTION_MS - 1)).is_empty());
+    assert!(matches!(
+        table.expire(unix(RETENTION_MS))[..],
+        [Change::Lifted { .. }]
+    ));
+    assert!(!is_quarantined(&table, RETENTION_MS, &[BAD]));
+    crash(&mut table, RETENTION_MS + 500, "t", &["a", BAD]);
+    assert!(is_quarantined(&table, RETENTION_MS + 500, &["b", BAD]));
+}
+
+/// Several hosts see the same crash, and each report arrives several times, late and in any order.
+#[test]
+fn merge_reports_of_one_crash() {
+    let mut tables: Vec<Table> = (0..4).map(|_| Table::default()).collect();
+    for table in &mut tables {
+        crash(table, 1_000, "s", &["a", BAD]);
+    }
+    let reports: Vec<Report> = tables
+        .iter()
+        .map(|table| table.report(unix(1_500), Scope::Own))
+        .collect();
+    for (round, report) in reports.iter().cycle().take(12).enumerate() {
+        tables[0].merge(unix(1_500 + round as u64 * 400), report.clone());
+    }
+    assert!(tables[0].is_empty());
+    // A server that restarts under its id and crashes again is another one.
+    for start in [2, 3] {
+        let again = ("s".into(), Some(start));
+        tables[0].record_crash(unix(5_000 + start * 1_000), again, &prompt(&["b", BAD]));
+    }
+    assert!(is_quarantined(&tables[0], 9_000, &["c", BAD]));
+}
+
+#[test]
+fn merge_crashes_seen_by_different_hosts() {
+    let mut tables: Vec<Table> = (0..3).map(|_| Table::default()).collect();
+    for (index, table) in tables.iter_mut().enumerate() {
+        crash(
+            table,
+            index as u64 * 1_000,
+            &format!("s-{index}"),
+            &["a", BAD],
+        );
+    }
+    let reports: Vec<Report> = tables
+        .iter()
+        .map(|table| table.report(unix(3_000), Scope::Own))
+        .collect();
+    for table in &mut tables {
+        for report in reports.iter().rev() {
+            table.merge(unix(3_000), report.clone());
+        }
+        assert!(is_quarantined(table, 3_000, &["a", BAD]));
+        assert!(!is_quarantined(table, 3_000, &["a", "x"]));
+    }
+}
+
+/// A host that starts gets the crashes from the store, also those that ended hosts saw. It passes them
+/// on, and the quarantine ends at the same time everywhere.
+#[test]
+fn merge_report_after_restarts() {
+    let mut table = Table::default();
+    crash_all(&mut table, &[&["a", BAD], &["b", BAD], &["c", BAD]]);
+    let late = table.report(unix(100_000), Scope::Own);
+    assert!(late.crashes.is_empty(), "they are old");
+    let mut report = table.report(unix(100_000), Scope::All);
+    for hop in 0..5 {
+        let mut started = Table::default();
+        // Each report is read some seconds after it was written.
+        started.merge(unix(110_000 + hop * 10_000), report);
+        assert!(is_quarantined(&started, 160_000, &["d", BAD]));
+        assert!(is_quarantined(&started, RETENTION_MS - 1, &[BAD]));
+        assert!(!is_quarantined(&started, RETENTION_MS, &[BAD]));
+        report = started.report(unix(118_000 + hop * 10_000), Scope::All);
+    }
+}
+
+/// Records of hosts that ended long ago stay in the store.
+#[test]
+fn merge_old_report() {
+    let mut table = Table::default();
+    let end = crash_all(&mut table, &[&[BAD], &[BAD], &[BAD]]);
+    let report = table.report(unix(end), Scope::All);
+    let mut started = Table::default();
+    assert!(started.merge(unix(end + RETENTION_MS), report).is_empty());
+    assert!(started.is_empty());
+}
+
+/// A host that saw few of the crashes blames a harmless part. It corrects that with the crashes that
+/// others saw, and doesn't mislead them.
+#[test]
+fn merge_corrects_verdict() {
+    let mut few = Table::default();
+    for index in 0..4 {
+        let name = format!("s-{index}");
+        let seen = if index < 3 { ["a", "x"] } else { ["a", BAD] };
+        crash(&mut few, index * 1_000, &name, &seen);
+    }
+    assert!(is_quarantined(&few, 4_000, &["a", "other"]));
+    let mut others = Table::default();
+    for index in 0..5 {
+        let name = format!("s-{index}");
+        let parts = [["a", "b"][index as usize % 2], BAD];
+        crash(&mut others, index * 1_000, &name, &parts);
+    }
+    few.record_answer(unix(4_000), unix(900), &prompt(&["a", "other"]));
+    others.merge(unix(5_000), few.report(unix(5_000), Scope::All));
+    few.merge(unix(5_000), others.report(unix(5_000), Scope::Own));
+    for table in [&few, &others] {
+        assert!(is_quarantined(table, 5_000, &["c", BAD]));
+        assert!(!is_quarantined(table, 5_000, &["a", "other"]));
+        assert!(!is_quarantined(table, 5_000, &["a", "x"]));
+    }
+}
+
+/// A host that answered a request with the part knows better than those that only saw the crashes.
+#[test]
+fn merge_clearance_lifts() {
+    let mut table = Table::default();
+    let end = crash_all(&mut table, &[&["a"], &["a"], &["a"]]);
+    let mut other = Table::default();
+    other.merge(unix(end), table.report(unix(end), Scope::Own));
+    assert!(is_quarantined(&other, end, &["a"]));
+    other.record_answer(unix(end + 100), unix(end - 500), &prompt(&["a"]));
+    table.merge(unix(end + 200), other.report(unix(end + 100), Scope::Own));
+    assert!(!is_quarantined(&table, end + 200, &["a"]));
+    // Late reports of the quarantine don't bring it back.
+    let mut late = Table::default();
+    crash_all(&mut late, &[&["a"], &["a"], &["a"]]);
+    for table in [&mut table, &mut other] {
+        let changes = table.merge(unix(end + 300), late.report(unix(end + 300), Scope::Own));
+        assert!(changes.is_empty(), "{changes:?}");
+        assert!(!is_quarantined(table, end + 300, &["a"]));
+    }
+}
+
+#[test]
+fn find_two_crashing_parts() {
+    let mut table = Table::default();
+    for index in 0..4 {
+        let name = format!("s-{index}");
+        crash(&mut table, index * 1_000, &name, &["a", BAD]);
+        crash(
+            &mut table,
+            index * 1_000 + 500,
+            &format!("t-{index}"),
+            &["a", "worse"],
+        );
+    }
+    table.record_answer(unix(4_000), unix(3_600), &prompt(&["a", "x"]));
+    // One server had prompts with either.
+    crash(&mut table, 5_000, "u", &["a", BAD]);
+    crash(&mut table, 5_000, "u", &["a", "worse"]);
+    assert!(is_quarantined(&table, 6_000, &["b", BAD]));
+    assert!(is_quarantined(&table, 6_000, &["b", "worse"]));
+    assert!(!is_quarantined(&table, 6_000, &["a", "x"]));
+}
+
+/// Pseudorandom numbers from a seed.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 33) % limit
+    }
+}
+
+/// Interval between the heartbeats of a host, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_300;
+
+/// Interval between a host's reads of the others' heartbeats, in milliseconds.
+const READ_MS: u64 = 800;
+
+/// Number of hosts whose heartbeats hold all crashes.
+const RELAYS: usize = 6;
+
+/// Step of the simulated time, in milliseconds.
+const STEP_MS: u64 = 20;
+
+/// Time after the fifth crash from which hardly any bad request may reach a server, and after a
+/// disturbance from which a host counts again, in milliseconds.
+const CONTACT_MS: u64 = 4_000;
+
+/// A host of a simulated deployment.
+struct Host {
+    table: Table,
+    phase: u64,
+    disturbed_until: u64,
+    is_cut_off: bool,
+    is_paused: bool,
+}
+
+/// Outcome of a simulation.
+#[derive(Debug, Default)]
+struct Outcome {
+    crashes: usize,
+    later: usize,
+    sound: usize,
+    refused: usize,
+}
+
+/// Sends the report of a host by datagrams to all hosts that it reaches.
+fn send_report(random: &mut Random, fleet: &mut [Host], ms: u64, from: usize) {
+    let report = fleet[from].table.report(unix(ms), Scope::Own);
+    let is_cut_off = fleet[from].is_cut_off;
+    for (to, host) in fleet.iter_mut().enumerate() {
+        let is_lost = random.below(20) == 0 || is_cut_off || host.is_cut_off;
+        let is_paused = host.is_paused && ms < host.disturbed_until;
+        if to != from && !is_lost && !is_paused {
+            host.table.merge(unix(ms), report.clone());
+        }
+    }
+}
+
+/// Simulates hosts that get bad and sound requests, while some of them restart, pause or are cut off
+/// from the others.
+fn simulate(seed: u64, hosts: usize, bad_per_s: u64, end_ms: u64) -> Outcome {
+    let mut random = Random(seed);
+    let mut outcome = Outcome::default();
+    let mut store: BTreeMap<usize, (u64, Report)> = BTreeMap::new();
+    let mut fleet: Vec<Host> = (0..hosts)
+        .map(|_| Host {
+            table: Table::default(),
+            phase: random.below(HEARTBEAT_MS),
+            disturbed_until: 0,
+            is_cut_off: random.below(5) == 0,
+            is_paused: false,
+        })
+        .collect();
+    let mut fifth = None;
+    let mut in_flight: Vec<(u64, usize, u64, Vec<Segment>)> = Vec::new();
+    for ms in (5_000..end_ms).step_by(STEP_MS as usize) {
+        for (index, host) in fleet.iter_mut().enumerate() {
+            // One of the hosts restarts or pauses in every two seconds.
+            if random.below(hosts as u64 * 2_000 / STEP_MS) == 0 {
+                host.disturbed_until = ms + 3_000;
+                host.is_paused = random.below(2) == 0;
+                if !host.is_paused {
+                    host.table = Table::default();
+                    for (_, report) in store.values() {
+                        host.table.merge(unix(ms), report.clone());
+                    }
+                }
+            }
+            if host.is_paused && ms < host.disturbed_until {
+                continue;
+            }
+            if (ms + host.phase) % HEARTBEAT_MS < STEP_MS {
+                let scope = if index < RELAYS {
+                    Scope::All
+                } else {
+                    Scope::Own
+                };
+                store.insert(index, (ms, host.table.report(unix(ms), scope)));
+            }
+            if (ms + host.phase) % READ_MS < STEP_MS {
+                // What this host read before is in its table.
+                for (written, report) in store.values() {
+                    if ms - written <= READ_MS * 2 + HEARTBEAT_MS {
+                        host.table.merge(unix(ms), report.clone());
+                    }
+                }
+            }
+        }
+        let (ended, running) = in_flight.into_iter().partition(|(end, ..)| *end <= ms);
+        in_flight = running;
+        let ended: Vec<(u64, usize, u64, Vec<Segment>)> = ended;
+        for (_, index, sent_at, prompt) in ended {
+            let table = &mut fleet[index].table;
+            if table.record_answer(unix(ms), unix(sent_at), &prompt).0 {
+                send_report(&mut random, &mut fleet, ms, index);
+            }
+        }
+        let shared = ["a", "b", "c", "d"][random.below(4) as usize];
+        let index = random.below(hosts as u64) as usize;
+        if random.below(1_000 / STEP_MS) < bad_per_s {
+            let bad = prompt(&[shared, BAD]);
+            let is_running = !fleet[index].is_paused || ms >= fleet[index].disturbed_until;
+            if is_running && fleet[index].table.find(unix(ms), &bad).is_none() {
+                outcome.crashes += 1;
+                let is_in_touch = ms >= fleet[index].disturbed_until + CONTACT_MS;
+                if fifth.is_some_and(|fifth| ms > fifth + CONTACT_MS) && is_in_touch {
+                    outcome.later += 1;
+                }
+                if outcome.crashes == 5 {
+                    fifth = Some(ms);
+                }
+                let name = format!("s-{}", outcome.crashes);
+                crash(&mut fleet[index].table, ms, &name, &[shared, BAD]);
+                // A sound request waited there.
+                let victim = random.below(hosts as u64) as usize;
+                crash(&mut fleet[victim].table, ms, &name, &[shared, "x"]);
+                for from in [index, victim] {
+                    send_report(&mut random, &mut fleet, ms, from);
+                }
+            }
+        }
+        let sound = prompt(&[shared, "x"]);
+        if random.below(4) == 0 {
+            outcome.sound += 1;
+            let index = random.below(hosts as u64) as usize;
+            if fleet[index].table.find(unix(ms), &sound).is_some() {
+                outcome.refused += 1;
+            } else {
+                in_flight.push((ms + 1_200, index, ms, sound));
+            }
+        }
+    }
+    outcome
+}
+
+/// The guard holds over hosts that restart, pause, are cut off or lose datagrams.
+#[test]
+fn find_at_all_hosts_few() {
+    for seed in 1..=40 {
+        for (hosts, bad_per_s) in [(3, 1), (7, 3), (9, 10)] {
+            let outcome = simulate(seed, hosts, bad_per_s, 45_000);
+            assert!(outcome.crashes >= MIN_CRASHES, "seed {seed}: {outcome:?}");
+            assert!(outcome.later <= 3, "seed {seed}: {outcome:?}");
+            assert!(
+                outcome.refused * 10 <= outcome.sound,
+                "seed {seed}: {outcome:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn find_at_all_hosts_hundreds() {
+    for seed in 1..=2 {
+        let outcome = simulate(seed, 295, 5, 25_000);
+        assert!(outcome.crashes >= MIN_CRASHES, "seed {seed}: {outcome:?}");
+        assert!(outcome.later <= 3, "seed {seed}: {outcome:?}");
+        assert!(
+            outcome.refused * 10 <= outcome.sound,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
