Log the rates that servers name in their answers

Nothing that a host wrote told whether it saw the rate at all. Each answer that names one is a line in the log now. No decision changes.

--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -139,6 +139,8 @@
     pub expected_server: HeaderName,
     /// States that the server did not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that a server takes from all hosts together, while it is in need.
+    pub server_limit: HeaderName,
     /// Delay before a retry, in seconds.
     pub retry_after: HeaderName,
     /// Priority at a server, set by the gateway.
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -31,7 +31,10 @@
         stream::Framer, //
     },
     shell::gateway::{
-        log::Progress,
+        log::{
+            Event,
+            Progress, //
+        },
         quarantines,
         upstream::Lease, //
     },
@@ -68,6 +71,14 @@
             progress: Progress::Head,
         };
         let status = response.status();
+        let per_s = header_text(response.headers(), &names.server_limit);
+        if !per_s.is_empty() {
+            self.gateway.log.write(&Event::Limit {
+                server: &server,
+                request: &self.id,
+                per_s,
+            });
+        }
         let echo = header_text(response.headers(), &names.request);
         // A late copy of a response that names no request can't be told from the response to the next
         // request, so its connection isn't used again.
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -194,6 +194,15 @@
         /// Time since the request arrived.
         ms: u64,
     },
+    /// A server named the rate of requests that it takes.
+    Limit {
+        /// The server.
+        server: &'a Name,
+        /// The request that it answered.
+        request: &'a str,
+        /// The rate, as it is written in the answer.
+        per_s: &'a str,
+    },
     /// A server crashed before its answer to a request began.
     Crash {
         /// The server.
@@ -394,6 +403,12 @@
             } => slog::info!(log, "attempt failed"; "request" => request, "server" => %server,
                 "end" => end, "next" => next, "progress" => progress.text(),
                 "parts" => part_ids(parts), "ms" => ms),
+            Event::Limit {
+                server,
+                request,
+                per_s,
+            } => slog::info!(log, "limit"; "server" => %server, "request" => request,
+                "per_s" => per_s),
             Event::Crash { server, parts } => {
                 slog::warn!(log, "crash"; "server" => %server, "parts" => part_ids(parts));
             }
