Keep to the rates that servers in need name, over all hosts

Cause: no host read the header with the rate. The class of fault is a limit of a server that isn't divided among those who send to it: the twins, the rates of cold servers, connections and retries, are divided already; calls with pieces had the same gap and keep to the rate now as well.

Evidence: the requests at both servers didn't change from the moment at which they named their rates, at any host, before any restart.

The rate is divided among the hosts that may be alive, or among dispatchers and hosts where there are many. What an answer says goes to all hosts by datagram and heartbeat, and the newest answer decides, so hosts without a share learn when the need is over. Where all servers are at their rates, a request is refused at once with the time of the next one.

--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    cache, quota, rate,
+    cache, limits, quota, rate,
     servers::{
         self,
         Server, //
@@ -48,7 +48,7 @@
 }
 
 /// A request that needs a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct Request<'a> {
     /// The service.
     pub service: &'a str,
@@ -65,6 +65,9 @@
     pub max_running: u32,
     /// Number of hosts in this data centre, which mostly use the same servers.
     pub local_hosts: usize,
+    /// Number of requests that this host may send to a server in a window of [`limits`], if the
+    /// server names a rate.
+    pub named_share: &'a dyn Fn(&Server) -> Option<u64>,
 }
 
 /// Why no server was selected.
@@ -76,6 +79,10 @@
     /// All usable servers are at their limits.
     #[error("all servers are full")]
     Full,
+    /// All usable servers get as much as the rates allow that they name. With the time until this host
+    /// may send a request, in milliseconds, unless it has no share of any.
+    #[error("all servers are at the rates that they name")]
+    Limited(Option<u64>),
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -99,11 +106,24 @@
 }
 
 /// Load that this host causes at servers, and failures that it observes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Balancer {
     loads: HashMap<Name, Load>,
     cache: cache::Directory,
     limiter: rate::Limiter,
+    // Counts requests for the rates that servers name.
+    named_limiter: rate::Limiter,
+}
+
+impl Default for Balancer {
+    fn default() -> Self {
+        Self {
+            loads: HashMap::new(),
+            cache: cache::Directory::default(),
+            limiter: rate::Limiter::default(),
+            named_limiter: rate::Limiter::new(limits::WINDOW_MS),
+        }
+    }
 }
 
 /// Predicate on servers, such as whether their region is allowed for a request.
@@ -130,13 +150,23 @@
     ) -> Result<Assignment, Error> {
         let mut best: Option<(u64, u64, &Server, u64, Option<Name>)> = None;
         let mut has_candidate = false;
+        let mut is_limited = false;
+        let mut wait_ms: Option<u64> = None;
         let preferred = self.preferred_server(table, request, is_allowed, is_local_region);
         for server in table.usable(request.service) {
             if !is_allowed(server) || request.tried.contains(&server.entry.id) {
                 continue;
             }
-            has_candidate = true;
             let id = &server.entry.id;
+            if let Some(share) = (request.named_share)(server) {
+                let wait = self.named_limiter.wait_ms(now, id, share);
+                if wait != Some(0) {
+                    is_limited = true;
+                    wait_ms = wait_ms.into_iter().chain(wait).min();
+                    continue;
+                }
+            }
+            has_candidate = true;
             if !self
                 .limiter
                 .allows(now, id, request.cold_requests_per_s, request.group)
@@ -187,6 +217,8 @@
         let Some((_, _, server, tokens, source)) = best else {
             return Err(if has_candidate {
                 Error::Full
+            } else if is_limited {
+                Error::Limited(wait_ms)
             } else {
                 Error::NoServer
             });
@@ -206,6 +238,7 @@
         load.running += 1;
         load.prefill_tokens += tokens;
         self.limiter.record(now, id);
+        self.named_limiter.record(now, id);
         for segment in shared_segments(prompt) {
             self.cache.record(now, cache::key(segment), id);
         }
@@ -313,6 +346,7 @@
             self.loads.remove(id);
         }
         self.limiter.forget(id);
+        self.named_limiter.forget(id);
         self.cache.forget(id);
     }
 
--- a/src/core/gateway/dispatch.rs
+++ b/src/core/gateway/dispatch.rs
@@ -75,6 +75,9 @@
     Granted(Grant),
     /// All usable servers of the region are at their limits.
     Full,
+    /// All usable servers of the region get as much as the rates allow that they name. With the time
+    /// until one may get a request, in milliseconds.
+    Limited(Option<u64>),
     /// The region has no usable server.
     NoServer,
     /// This host assigns no requests now.
@@ -144,13 +147,16 @@
 
     /// Assigns a request to one of the servers that `is_own` selects.
     ///
-    /// `cold_requests_per_s` is the rate limit of a cold server over all hosts.
+    /// `cold_requests_per_s` is the rate limit of a cold server over all hosts. `named_share` is what
+    /// one dispatcher may assign of the rate that a server names: see
+    /// [`balance::Request::named_share`].
     pub fn ask(
         &mut self,
         now: Instant,
         table: &servers::Table,
         ask: &Ask,
         cold_requests_per_s: f64,
+        named_share: &dyn Fn(&Server) -> Option<u64>,
         is_own: balance::Filter<'_>,
     ) -> Reply {
         if now < self.ready_at {
@@ -165,6 +171,7 @@
             group: &self.alone,
             max_running: u32::MAX,
             local_hosts: 1,
+            named_share,
         };
         let is_local: &dyn Fn(&Server) -> bool = &|_| true;
         match self.balancer.place(now, table, &request, is_own, is_local) {
@@ -184,6 +191,7 @@
                 Reply::Granted(grant)
             }
             Err(balance::Error::Full) => Reply::Full,
+            Err(balance::Error::Limited(wait_ms)) => Reply::Limited(wait_ms),
             Err(balance::Error::NoServer) => Reply::NoServer,
         }
     }
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -19,6 +19,7 @@
 
 use super::{
     balance,
+    limits,
     mac::Key,
     quarantine,
     quota, //
@@ -74,6 +75,8 @@
     pub capacity: u32,
     /// What the host reports about crashes of servers.
     pub report: quarantine::Report,
+    /// What servers said about the rates of requests that they take.
+    pub limits: Vec<limits::Limit>,
 }
 
 /// A host and its last heartbeat.
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod dispatch;
 pub mod hosts;
+pub mod limits;
 pub mod lookup;
 pub mod mac;
 pub mod plan;
--- a/src/shell/gateway/datagrams/assignments.rs
+++ b/src/shell/gateway/datagrams/assignments.rs
@@ -25,7 +25,10 @@
         Report, //
     },
     names::Name,
-    shell::gateway::Gateway,
+    shell::gateway::{
+        Gateway,
+        limits, //
+    },
     time::Instant,
 };
 
@@ -65,6 +68,9 @@
     Granted(Grant, Lease),
     /// All usable servers of the region are at their limits, or there is none.
     Full,
+    /// All usable servers of the region get as much as the rates allow that they name. With the time
+    /// until one may get a request, in milliseconds.
+    Limited(Option<u64>),
     /// No dispatcher of the region answers.
     Silent,
 }
@@ -131,6 +137,7 @@
                 return Answer::Silent;
             }
             Some(Reply::Full | Reply::NoServer) => return Answer::Full,
+            Some(Reply::Limited(wait_ms)) => return Answer::Limited(wait_ms),
             Some(Reply::NotReady) => {}
             None => {
                 let until = now.after_ms(SILENT_MS);
@@ -203,6 +210,7 @@
         &gateway.servers.borrow(),
         question,
         service.cold_requests_per_s * factor,
+        &|server| limits::dispatcher_share(gateway, server),
         &|server| gateway.region_of(&server.entry.data_centre) == gateway.identity.region,
     )
 }
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -27,6 +27,7 @@
         Report, //
     },
     hosts::Heartbeat,
+    limits,
     mac::MAC_BYTES,
     quarantine, //
 };
@@ -60,6 +61,7 @@
     Reply { number: u64, reply: Reply },
     Reports(Vec<Report>),
     Quarantine(quarantine::Report),
+    Limit(limits::Limit),
 }
 
 /// State of the exchange of datagrams.
@@ -120,13 +122,21 @@
         clearances: clearances.to_vec(),
         ..quarantine::Report::default()
     }));
-    let hosts = gateway.hosts.borrow();
     for part in parts {
-        let message = Message::Quarantine(part);
-        for host in hosts.live(gateway.now()) {
-            if host.heartbeat.host != gateway.identity.host {
-                send(gateway, &host.heartbeat, &message);
-            }
+        send_to_all(gateway, &Message::Quarantine(part));
+    }
+}
+
+/// Sends to all hosts what a server says about the rate of requests that it takes.
+pub(super) fn send_limit(gateway: &Gateway, limit: limits::Limit) {
+    send_to_all(gateway, &Message::Limit(limit));
+}
+
+fn send_to_all(gateway: &Gateway, message: &Message) {
+    let hosts = gateway.hosts.borrow();
+    for host in hosts.live(gateway.now()) {
+        if host.heartbeat.host != gateway.identity.host {
+            send(gateway, &host.heartbeat, message);
         }
     }
 }
@@ -164,6 +174,7 @@
                 assignments::receive(&gateway, from, number, reply);
             }
             Ok(Message::Reports(reports)) => assignments::record(&gateway, &reports),
+            Ok(Message::Limit(limit)) => super::limits::merge(&gateway, limit),
             Ok(Message::Quarantine(report)) => quarantines::merge(&gateway, report),
             Err(_) => {}
         }
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -31,6 +31,7 @@
             Answer,
             Lease, //
         },
+        limits,
         log::{
             Event,
             Progress, //
@@ -141,7 +142,11 @@
                 {
                     tokio::time::sleep(Duration::from_millis(FULL_RETRY_MS)).await;
                 }
+                // More requests than the servers take wait for the next one, and few can get it.
                 Err(error) => {
+                    if let balance::Error::Limited(wait_ms) = error {
+                        self.retry_after_ms.set(wait_ms);
+                    }
                     self.is_exhausted.set(true);
                     return Err(Error {
                         outcome: Outcome::NotSent,
@@ -167,6 +172,7 @@
         let mut regions: Vec<Name> = gateway.overview().dispatchers.keys().cloned().collect();
         regions.sort_by_key(|region| *region != preferred);
         let mut has_server = false;
+        let mut limited = None;
         for region in regions.iter().filter(|region| self.allows_region(region)) {
             let max_running = self.max_connections(gateway.overview().group.size());
             let max_running = u32::try_from(max_running).unwrap_or(u32::MAX);
@@ -182,17 +188,19 @@
             match datagrams::ask(gateway, region, &ask).await {
                 Answer::Granted(grant, lease) => return Ok(self.accept(grant, lease)),
                 Answer::Full => has_server = true,
+                Answer::Limited(wait_ms) => limited = Some(wait_ms),
                 Answer::Silent if *region == preferred => match self.place() {
                     Ok(slot) => return Ok(slot),
+                    Err(balance::Error::Limited(wait_ms)) => limited = Some(wait_ms),
                     Err(error) => has_server |= error == balance::Error::Full,
                 },
                 Answer::Silent => {}
             }
         }
-        Err(if has_server {
-            balance::Error::Full
-        } else {
-            balance::Error::NoServer
+        Err(match limited {
+            _ if has_server => balance::Error::Full,
+            Some(wait_ms) => balance::Error::Limited(wait_ms),
+            None => balance::Error::NoServer,
         })
     }
 
@@ -234,6 +242,9 @@
             group: &overview.group,
             max_running: u32::try_from(max_running).unwrap_or(u32::MAX),
             local_hosts: overview.local_hosts,
+            named_share: &|server| {
+                limits::share(gateway, server, &overview.group, overview.has_dispatchers)
+            },
         };
         let assignment = gateway.balancer.borrow_mut().place(
             now,
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -151,6 +151,8 @@
     tried: RefCell<Vec<Name>>,
     results: Results,
     inputs: RefCell<Vec<Name>>,
+    /// Time after which a refused request may find a server, in milliseconds, if that is known.
+    retry_after_ms: Cell<Option<u64>>,
     /// Whether no untried server is left.
     is_exhausted: Cell<bool>,
     /// Preferred region of the server.
@@ -258,6 +260,7 @@
             outputs: RefCell::default(),
         },
         inputs: RefCell::default(),
+        retry_after_ms: Cell::default(),
         is_exhausted: Cell::default(),
         region: RefCell::new(gateway.identity.region.clone()),
         _running: running,
@@ -312,7 +315,7 @@
             Action::Retry => {}
             Action::Refuse => {
                 exchange.check_quarantine()?;
-                return Err(Refusal::not_run(reason));
+                return Err(exchange.refusal(reason));
             }
             Action::Fail => {
                 return Err(Refusal::may_have_run(StatusCode::BAD_GATEWAY, reason));
@@ -335,6 +338,15 @@
         }
     }
 
+    /// Returns the refusal for a request that no server takes now.
+    fn refusal(&self, reason: String) -> Refusal {
+        let mut refusal = Refusal::not_run(reason);
+        if let Some(ms) = self.retry_after_ms.get() {
+            refusal.retry_after_s = Some(ms as f64 / 1_000.0);
+        }
+        refusal
+    }
+
     /// Refuses the request if a part of its prompt is quarantined. The caller is told when the quarantine
     /// ends: until then any repetition would be refused.
     fn check_quarantine(&self) -> Result<(), Refusal> {
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -28,13 +28,12 @@
 use crate::{
     core::gateway::{
         retry::Outcome,
+        servers::Entry,
         stream::Framer, //
     },
     shell::gateway::{
-        log::{
-            Event,
-            Progress, //
-        },
+        limits,
+        log::Progress,
         quarantines,
         upstream::Lease, //
     },
@@ -57,6 +56,7 @@
     pub(super) async fn receive(
         &self,
         slot: Slot,
+        entry: &Entry,
         received: Received,
         may_have_run_before: bool,
         resume: Option<u64>,
@@ -71,14 +71,6 @@
             progress: Progress::Head,
         };
         let status = response.status();
-        let per_s = header_text(response.headers(), &names.server_limit);
-        if !per_s.is_empty() {
-            self.gateway.log.write(&Event::Limit {
-                server: &server,
-                request: &self.id,
-                per_s,
-            });
-        }
         let echo = header_text(response.headers(), &names.request);
         // A late copy of a response that names no request can't be told from the response to the next
         // request, so its connection isn't used again.
@@ -90,6 +82,11 @@
                 "answer to another request".to_string(),
             ));
         }
+        // Another server than the one expected answers 421.
+        if status.as_u16() != 421 {
+            let sent = received.sent_unix_ms;
+            limits::observe(&self.gateway, entry, sent, response.headers());
+        }
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
             self.may_have_run.set(may_have_run_before);
             let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -174,7 +174,8 @@
             lease,
             sent_unix_ms,
         };
-        self.receive(slot, reply, may_have_run_before, resume).await
+        self.receive(slot, entry, reply, may_have_run_before, resume)
+            .await
     }
 
     pub(super) fn request(
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -194,14 +194,14 @@
         /// Time since the request arrived.
         ms: u64,
     },
-    /// A server named the rate of requests that it takes.
+    /// A server named another rate of requests that it takes, or none any more.
     Limit {
         /// The server.
         server: &'a Name,
-        /// The request that it answered.
-        request: &'a str,
-        /// The rate, as it is written in the answer.
-        per_s: &'a str,
+        /// Requests in 1,000 seconds, `None` if it no longer names a rate.
+        per_ks: Option<u64>,
+        /// Whether it said so to this host.
+        is_own: bool,
     },
     /// A server crashed before its answer to a request began.
     Crash {
@@ -405,10 +405,11 @@
                 "parts" => part_ids(parts), "ms" => ms),
             Event::Limit {
                 server,
-                request,
-                per_s,
-            } => slog::info!(log, "limit"; "server" => %server, "request" => request,
-                "per_s" => per_s),
+                per_ks,
+                is_own,
+            } => {
+                slog::info!(log, "limit"; "server" => %server, "per_ks" => per_ks, "own" => is_own)
+            }
             Event::Crash { server, parts } => {
                 slog::warn!(log, "crash"; "server" => %server, "parts" => part_ids(parts));
             }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -35,9 +35,11 @@
         config::Config,
         dispatch::Dispatcher,
         hosts,
+        limits as rates,
         mac::Key,
         plan,
         quarantine,
+        rate::Limiter,
         servers,
         spillover, //
     },
@@ -59,6 +61,7 @@
 mod forward;
 mod front;
 mod head_limit;
+mod limits;
 mod log;
 mod metrics;
 mod net;
@@ -113,6 +116,9 @@
     overview: RefCell<Option<Rc<Overview>>>,
     spillover: RefCell<spillover::Table>,
     quarantine: RefCell<quarantine::Table>,
+    limits: RefCell<rates::Table>,
+    // Counts calls with pieces for the rates that servers name.
+    stage_limiter: RefCell<Limiter>,
     pool: Rc<upstream::Pool>,
     store: store::State,
     /// Key with which other hosts seal their messages to this host.
@@ -160,6 +166,7 @@
     fn forget_server(&self, id: &Name) {
         self.balancer.borrow_mut().forget(id);
         self.dispatcher.borrow_mut().forget(id);
+        self.stage_limiter.borrow_mut().forget(id);
     }
 
     fn region_of(&self, data_centre: &Name) -> Name {
@@ -244,6 +251,8 @@
         overview: RefCell::default(),
         spillover: RefCell::default(),
         quarantine: RefCell::default(),
+        limits: RefCell::default(),
+        stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
         key: OnceCell::new(),
@@ -276,6 +285,7 @@
         }
         gateway.pool.close_expired();
         quarantines::expire(&gateway);
+        gateway.limits.borrow_mut().expire(clock::unix_ms());
         stages::tick(&gateway);
     }
 }
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -22,7 +22,7 @@
 use tokio::sync::oneshot;
 
 use crate::shell::gateway::{
-    Gateway,
+    Gateway, clock, limits,
     log::Event,
     peers,
     upstream::{
@@ -165,8 +165,12 @@
         complete_piece(gateway, batcher, ticket, Err(Failure::Late));
     }
     loop {
-        let call = batcher.queue.borrow_mut().next_call(now, &stages, &servers);
+        let open = servers_below_rate(gateway, &servers);
+        let call = batcher.queue.borrow_mut().next_call(now, &stages, &open);
         let Some(call) = call else { break };
+        let mut limiter = gateway.stage_limiter.borrow_mut();
+        limiter.record(now, &call.server);
+        drop(limiter);
         let gateway = gateway.clone();
         let batcher = batcher.clone();
         tokio::task::spawn_local(async move {
@@ -176,6 +180,19 @@
     }
 }
 
+/// Returns the servers that may get a call now, by the rates that they name.
+fn servers_below_rate(gateway: &Gateway, servers: &[Name]) -> Vec<Name> {
+    let now = gateway.now();
+    let table = gateway.servers.borrow();
+    let limiter = gateway.stage_limiter.borrow();
+    let is_below = |id: &&Name| {
+        let server = table.get(id);
+        let share = server.and_then(|server| limits::stage_share(gateway, server));
+        share.is_none_or(|share| limiter.wait_ms(now, id, share) == Some(0))
+    };
+    servers.iter().filter(is_below).cloned().collect()
+}
+
 /// Returns the servers of a service that this host uses: those of its data centre, otherwise those
 /// of its region, otherwise all.
 pub(super) fn eligible_servers(gateway: &Gateway, service: &str) -> Vec<Name> {
@@ -336,14 +353,16 @@
 
 pub(super) async fn send(gateway: &Gateway, batcher: &Batcher, call: &Call) -> Completion {
     let now = gateway.now();
-    let address = gateway
+    let entry = gateway
         .servers
         .borrow()
         .get(&call.server)
-        .map(|server| server.entry.address);
-    let Some(address) = address else {
+        .map(|server| server.entry.clone());
+    let Some(entry) = entry else {
         return Completion::NotRun("server gone");
     };
+    let address = entry.address;
+    let sent_unix_ms = clock::unix_ms();
     let pieces: Vec<(&Piece, u64)> = call
         .pieces
         .iter()
@@ -370,6 +389,10 @@
         Err(error) => return Completion::Failed(error.to_string()),
     };
     let status = response.status().as_u16();
+    // Another server than the one expected answers 421.
+    if status != 421 {
+        limits::observe(gateway, &entry, sent_unix_ms, response.headers());
+    }
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
     let body = match body.await {
         Ok(body) => body.to_bytes(),
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -109,6 +109,10 @@
     let Some(server) = gateway.servers.borrow().by_address(holder) else {
         return;
     };
+    // A server in need gets no calls that it can do without: it drops the results by itself.
+    if gateway.limits.borrow().is_limited(&server) {
+        return;
+    }
     let call = gateway.adapter.free_results(results);
     let Some(request) = request(gateway, &server, holder, call) else {
         return;
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -7,6 +7,7 @@
 
 use crate::shell::gateway::{
     Gateway,
+    limits,
     log::Event,
     peers::Snapshot,
     quarantines, //
@@ -62,7 +63,7 @@
     if !state.has_read(Topic::Hosts) {
         let others = snapshot.hosts.into_iter();
         for heartbeat in others.filter(|heartbeat| heartbeat.host != gateway.identity.host) {
-            quarantines::merge(gateway, heartbeat.report.clone());
+            merge_observations(gateway, &heartbeat);
             gateway.hosts.borrow_mut().record(now, heartbeat, false);
         }
     }
@@ -185,6 +186,14 @@
     gateway.log.write(&Event::Server { id, change });
 }
 
+/// Merges what a host observed of the servers.
+fn merge_observations(gateway: &Gateway, heartbeat: &Heartbeat) {
+    quarantines::merge(gateway, heartbeat.report.clone());
+    for limit in &heartbeat.limits {
+        limits::merge(gateway, limit.clone());
+    }
+}
+
 pub(super) fn apply_host(gateway: &Gateway, record: &Record, is_old: bool) {
     let Some(value) = &record.value else { return };
     let heartbeat: Heartbeat = match postcard::from_bytes(value) {
@@ -198,7 +207,7 @@
         let _ = gateway.key.set(key.clone());
     }
     if heartbeat.host != gateway.identity.host || is_old {
-        quarantines::merge(gateway, heartbeat.report.clone());
+        merge_observations(gateway, &heartbeat);
     }
     let name = heartbeat.host.clone();
     let serving = heartbeat.serving;
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -179,6 +179,7 @@
         key: gateway.key.get().cloned(),
         capacity: gateway.options.borrow().process.processor,
         report: quarantines::heartbeat_report(gateway),
+        limits: gateway.limits.borrow().report(),
     }
 }
 
--- a/tests/core/gateway/balance.rs
+++ b/tests/core/gateway/balance.rs
@@ -48,6 +48,7 @@
         group: &SINGLE_HOST,
         max_running: 1_000,
         local_hosts: 1,
+        named_share: &|_| None,
     }
 }
 
--- a/tests/core/gateway/dispatch.rs
+++ b/tests/core/gateway/dispatch.rs
@@ -72,7 +72,7 @@
 fn granted(reply: Reply) -> Option<Grant> {
     match reply {
         Reply::Granted(grant) => Some(grant),
-        Reply::Full | Reply::NoServer | Reply::NotReady => None,
+        Reply::Full | Reply::Limited(_) | Reply::NoServer | Reply::NotReady => None,
     }
 }
 
@@ -102,7 +102,7 @@
     let (mut repeated, mut cached) = (0, 0);
     for (index, (at_ms, _, session)) in requests.iter().enumerate() {
         let ask = ask(session, &format!("own-{index}"));
-        let reply = dispatcher.ask(at(*at_ms), &table, &ask, COLD_PER_S, &is_any);
+        let reply = dispatcher.ask(at(*at_ms), &table, &ask, COLD_PER_S, &|_| None, &is_any);
         let Some(grant) = granted(reply) else {
             continue;
         };
@@ -133,6 +133,7 @@
             group: &groups[*host],
             max_running: 5,
             local_hosts: 49,
+            named_share: &|_| None,
         };
         let placed: Result<Assignment, _> =
             hosts[*host].place(at(*at_ms), &table, &request, &is_any, &is_any);
@@ -161,7 +162,7 @@
         for index in 0..100_u64 {
             let ask = ask("session", &format!("own-{index}"));
             let now = at(READY_MS + index);
-            let reply = dispatcher.ask(now, &table, &ask, COLD_PER_S, &is_any);
+            let reply = dispatcher.ask(now, &table, &ask, COLD_PER_S, &|_| None, &is_any);
             total += usize::from(granted(reply).is_some());
         }
     }
@@ -182,7 +183,7 @@
     let mut times = Vec::new();
     for now_ms in (READY_MS..READY_MS + 5_000).step_by(10) {
         let ask = ask("session", &format!("own-{now_ms}"));
-        let reply = dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &is_any);
+        let reply = dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &|_| None, &is_any);
         if let Some(grant) = granted(reply) {
             times.push(now_ms);
             let (id, failed) = (grant.id, false);
@@ -204,14 +205,14 @@
     let mut dispatcher = Dispatcher::new(at(0), 0);
     let mut reply = |now_ms| {
         let ask = ask("session", &format!("own-{now_ms}"));
-        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &is_any)
+        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &|_| None, &is_any)
     };
     assert_eq!(reply(READY_MS - 1), Reply::NotReady);
     assert!(granted(reply(READY_MS)).is_some());
     dispatcher.resume(at(10_000));
     let mut reply = |now_ms| {
         let ask = ask("session", &format!("own-{now_ms}"));
-        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &is_any)
+        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &|_| None, &is_any)
     };
     assert_eq!(reply(10_999), Reply::NotReady);
     assert!(granted(reply(11_000)).is_some());
@@ -224,7 +225,7 @@
     let mut dispatcher = Dispatcher::new(at(0), 0);
     let server = |dispatcher: &mut Dispatcher, now_ms| {
         let ask = ask("session", &format!("own-{now_ms}"));
-        let reply = dispatcher.ask(at(now_ms), &table, &ask, 0.0, &is_any);
+        let reply = dispatcher.ask(at(now_ms), &table, &ask, 0.0, &|_| None, &is_any);
         granted(reply).expect("servers have no limit").server
     };
     let first = server(&mut dispatcher, READY_MS);
@@ -242,10 +243,24 @@
     let mut question = ask("session", "own");
     question.excluded = vec!["s0".into()];
     let is_own = |server: &Server| &*server.entry.id != "s1";
-    let reply = dispatcher.ask(at(READY_MS), &table, &question, COLD_PER_S, &is_own);
+    let reply = dispatcher.ask(
+        at(READY_MS),
+        &table,
+        &question,
+        COLD_PER_S,
+        &|_| None,
+        &is_own,
+    );
     assert_eq!(granted(reply).map(|grant| grant.server), Some("s2".into()));
     question.excluded.push("s2".into());
-    let reply = dispatcher.ask(at(READY_MS), &table, &question, COLD_PER_S, &is_own);
+    let reply = dispatcher.ask(
+        at(READY_MS),
+        &table,
+        &question,
+        COLD_PER_S,
+        &|_| None,
+        &is_own,
+    );
     assert_eq!(reply, Reply::NoServer);
 }
 
@@ -257,7 +272,7 @@
     let mut reply = |now_ms, live| {
         dispatcher.observe_hosts(at(now_ms), live, 100);
         let ask = ask("session", &format!("own-{now_ms}"));
-        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &is_any)
+        dispatcher.ask(at(now_ms), &table, &ask, COLD_PER_S, &|_| None, &is_any)
     };
     assert_eq!(reply(500, 1), Reply::NotReady, "only this host is known");
     assert_eq!(reply(800, 49), Reply::NotReady);
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -28,6 +28,7 @@
         key: None,
         capacity: 250,
         report: Report::default(),
+        limits: Vec::new(),
     }
 }
 
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod dispatch;
 mod hosts;
+mod limits;
 mod mac;
 mod plan;
 mod quarantine;
