Take a stream without length or events for broken off

Found while testing answers without a length: a server that ended its connection before the first event of a stream without length or chunks got its head passed on as a complete, empty success. The request fails as one whose answer was lost, and its server is probed for a crash like any other.

stream_without_length_or_events_fails failed before (200 instead of 502). The other new tests passed before: whole answers and streams without a length, resets, ends inside an event, and the resumption after one.

--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -143,6 +143,8 @@
     ) -> Result<Answer, Error> {
         let server = slot.server();
         let (head, body) = received.response.into_parts();
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let is_unframed = !framing.iter().any(|name| head.headers.contains_key(name));
         let mut source = Source {
             body,
             lease: Some(received.lease),
@@ -167,6 +169,16 @@
                     source,
                 })))
             }
+            // A server that crashes may end its connection like one that has sent all.
+            Chunk::End if is_unframed && resume.is_none() => {
+                source.slot.release(true);
+                Err(Error {
+                    outcome: Outcome::Lost,
+                    reason: "ended before the first event".to_string(),
+                    server: Some(server),
+                    progress: Progress::Head,
+                })
+            }
             Chunk::End => Ok(Answer::Whole(Response::from_parts(head, Bytes::new()))),
             Chunk::Lost(reason) => {
                 source.slot.release(true);
