Report only what is new of a crash, and divide rates of plain services whole

Each crash sent all crashes of the last 20 s to all hosts by datagram: after the loss of twenty servers at once, tens of thousands of datagrams in a deployment of 295 hosts. It sends the one crash now; heartbeats repeat the rest.

Dispatchers assign requests to engines only, so hosts divide the whole rate of a plain server among themselves and not a fifth of it.

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -236,6 +236,31 @@
         }
     }
 
+    /// Returns the report of one crash.
+    pub fn crash_report(&self, server: &Incarnation) -> Report {
+        let crash = self.crashes.get(server).map(|crash| Crash {
+            server: server.clone(),
+            at_unix_ms: crash.at_unix_ms,
+            prompts: crash.prompts.clone(),
+        });
+        Report {
+            crashes: crash.into_iter().collect(),
+            clearances: Vec::new(),
+        }
+    }
+
+    /// Returns the report of the parts of a prompt that are cleared.
+    pub fn clearance_report(&self, prompt: &[Segment]) -> Report {
+        let clearances = keys(prompt).into_iter().filter_map(|part| {
+            let at_unix_ms = self.cleared.get(&part)?.at_unix_ms;
+            Some(Clearance { part, at_unix_ms })
+        });
+        Report {
+            crashes: Vec::new(),
+            clearances: clearances.collect(),
+        }
+    }
+
     /// Returns the quarantined part of a prompt and the remaining time of its quarantine, in
     /// milliseconds.
     pub fn find<'a>(&self, unix_ms: u64, prompt: &'a [Segment]) -> Option<(&'a Segment, u64)> {
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -50,9 +50,6 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_300 + MAC_BYTES;
 
-/// Maximum number of clearances in one datagram.
-const MAX_CLEARANCES: usize = 60;
-
 /// Content of a datagram.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -107,24 +104,9 @@
     }
 }
 
-/// Sends a report on crashes to all hosts, one crash in each datagram. Quarantines go with heartbeats:
-/// the hosts derive them from the crashes.
-pub(super) fn send_report(gateway: &Gateway, report: &quarantine::Report) {
-    let crashes = report.crashes.iter().cloned();
-    let mut parts: Vec<quarantine::Report> = crashes
-        .map(|crash| quarantine::Report {
-            crashes: vec![crash],
-            ..quarantine::Report::default()
-        })
-        .collect();
-    let clearances = report.clearances.chunks(MAX_CLEARANCES);
-    parts.extend(clearances.map(|clearances| quarantine::Report {
-        clearances: clearances.to_vec(),
-        ..quarantine::Report::default()
-    }));
-    for part in parts {
-        send_to_all(gateway, &Message::Quarantine(part));
-    }
+/// Sends a report on one crash, or on the parts of one prompt, to all hosts.
+pub(super) fn send_report(gateway: &Gateway, report: quarantine::Report) {
+    send_to_all(gateway, &Message::Quarantine(report));
 }
 
 /// Sends to all hosts what a server says about the rate of requests that it takes.
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -16,6 +16,7 @@
             self,
             Assignment, //
         },
+        config::Role,
         dispatch::{
             self,
             Ask,
@@ -232,6 +233,8 @@
         if overview.has_dispatchers {
             cold_per_s *= dispatch::DIVIDED_PERCENT as f64 / 100.0;
         }
+        let is_engine = service.is_some_and(|service| service.role == Role::Engine);
+        let is_dispatched = overview.has_dispatchers && is_engine;
         let max_running = self.max_connections(overview.group.size());
         let tried = self.tried.borrow();
         let request = balance::Request {
@@ -242,9 +245,7 @@
             group: &overview.group,
             max_running: u32::try_from(max_running).unwrap_or(u32::MAX),
             local_hosts: overview.local_hosts,
-            named_share: &|server| {
-                limits::share(gateway, server, &overview.group, overview.has_dispatchers)
-            },
+            named_share: &|server| limits::share(gateway, server, &overview.group, is_dispatched),
         };
         let assignment = gateway.balancer.borrow_mut().place(
             now,
--- a/src/shell/gateway/limits.rs
+++ b/src/shell/gateway/limits.rs
@@ -69,9 +69,9 @@
     gateway: &Gateway,
     server: &Server,
     group: &Group,
-    has_dispatchers: bool,
+    is_dispatched: bool,
 ) -> Option<u64> {
-    let percent = if has_dispatchers {
+    let percent = if is_dispatched {
         dispatch::DIVIDED_PERCENT
     } else {
         100
--- a/src/shell/gateway/quarantines.rs
+++ b/src/shell/gateway/quarantines.rs
@@ -57,12 +57,12 @@
             parts: shared_segments(&prompt),
         });
         let incarnation = (server.id, server.started_at);
-        let changes = gateway
-            .quarantine
-            .borrow_mut()
-            .record_crash(lost_at, incarnation, &prompt);
+        let mut table = gateway.quarantine.borrow_mut();
+        let changes = table.record_crash(lost_at, incarnation.clone(), &prompt);
+        let report = table.crash_report(&incarnation);
+        drop(table);
         log_changes(&gateway, &changes);
-        datagrams::send_report(&gateway, &own_report(&gateway));
+        datagrams::send_report(&gateway, report);
         store::hasten_heartbeat(&gateway);
     });
 }
@@ -72,14 +72,13 @@
     if prompt.is_empty() {
         return;
     }
-    let (is_new, changes) =
-        gateway
-            .quarantine
-            .borrow_mut()
-            .record_answer(clock::unix_ms(), sent_unix_ms, prompt);
+    let mut table = gateway.quarantine.borrow_mut();
+    let (is_new, changes) = table.record_answer(clock::unix_ms(), sent_unix_ms, prompt);
+    let report = is_new.then(|| table.clearance_report(prompt));
+    drop(table);
     log_changes(gateway, &changes);
-    if is_new {
-        datagrams::send_report(gateway, &own_report(gateway));
+    if let Some(report) = report {
+        datagrams::send_report(gateway, report);
     }
 }
 
@@ -88,13 +87,6 @@
     gateway.quarantine.borrow().find(clock::unix_ms(), prompt)
 }
 
-fn own_report(gateway: &Gateway) -> Report {
-    gateway
-        .quarantine
-        .borrow()
-        .report(clock::unix_ms(), Scope::Own)
-}
-
 /// Returns the report for the next heartbeat. Those of a few hosts hold all that is known, so that it
 /// outlives the hosts that observed it.
 pub(super) fn heartbeat_report(gateway: &Gateway) -> Report {
