--- a/tests/core/gateway/limits.rs
+++ b/tests/core/gateway/limits.rs
@@ -249,3 +249,137 @@
         assert_eq!(place(ms, &servers), Ok("t".to_string()));
     }
 }
+
+/// Pseudorandom numbers from a seed.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.0 >> 33) % limit
+    }
+}
+
+/// A host of a simulated deployment, which sends to one server.
+struct Host {
+    table: Table,
+    limiter: Limiter,
+    told_at: Option<u64>,
+    is_cut_off: bool,
+}
+
+/// Time from the first answer with a rate until it has to be kept to, in milliseconds.
+const CONTACT_MS: u64 = 4_000;
+
+/// Step of the simulated time, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// Has hosts send to a server in need, while some restart or are cut off from the others, and returns
+/// the most requests in a window from hosts that had been told, and how many hosts still know the
+/// rate some seconds after the need.
+fn simulate(seed: u64, count: usize, per_ks: u64, requests_per_s: u64) -> (usize, usize) {
+    let mut random = Random(seed);
+    let names = hosts(count);
+    let groups: Vec<Group> = names
+        .iter()
+        .map(|own| Group::new(own, names.iter()))
+        .collect();
+    let new_host = |is_cut_off| Host {
+        table: Table::default(),
+        limiter: Limiter::new(WINDOW_MS),
+        told_at: None,
+        is_cut_off,
+    };
+    let mut fleet: Vec<Host> = (0..count).map(|_| new_host(random.below(5) == 0)).collect();
+    let mut store: Vec<Vec<Limit>> = vec![Vec::new(); count];
+    let mut answers: Vec<(u64, u64, usize)> = Vec::new();
+    let mut counted: Vec<u64> = Vec::new();
+    let need_ends = 24_000;
+    for ms in (0..40_000).step_by(STEP_MS as usize) {
+        if random.below(2_000 / STEP_MS) == 0 {
+            let index = random.below(count as u64) as usize;
+            let is_cut_off = fleet[index].is_cut_off;
+            fleet[index] = new_host(is_cut_off);
+            for limit in store.iter().flatten() {
+                fleet[index].table.merge(limit.clone());
+            }
+        }
+        for index in 0..count {
+            if (ms + index as u64 * 37) % 1_300 < STEP_MS {
+                store[index] = fleet[index].table.report();
+            }
+            if (ms + index as u64 * 53) % 800 < STEP_MS {
+                for limit in store.iter().flatten() {
+                    fleet[index].table.merge(limit.clone());
+                }
+            }
+        }
+        let (due, later) = answers.into_iter().partition(|(at, ..)| *at <= ms);
+        answers = later;
+        let due: Vec<(u64, u64, usize)> = due;
+        for (_, sent_ms, index) in due {
+            let rate = (sent_ms < need_ends).then_some(per_ks);
+            let host = &mut fleet[index];
+            host.told_at = host.told_at.or(rate.map(|_| ms));
+            let (now, sent) = (unix(ms), unix(sent_ms));
+            if host.table.record_answer(now, sent, &server("s"), rate) && !host.is_cut_off {
+                let limit = host.table.get("s").expect("it is known").clone();
+                for other in &mut fleet {
+                    if !other.is_cut_off && random.below(20) > 0 {
+                        other.table.merge(limit.clone());
+                    }
+                }
+            }
+        }
+        let number = requests_per_s * STEP_MS / 1_000;
+        for _ in 0..number {
+            let index = random.below(count as u64) as usize;
+            let host = &mut fleet[index];
+            let share = host
+                .table
+                .share(unix(ms), &server("s"), &groups[index], 100);
+            let may_send =
+                share.is_none_or(|share| host.limiter.wait_ms(at(ms), "s", share) == Some(0));
+            if !may_send {
+                continue;
+            }
+            host.limiter.record(at(ms), &"s".into());
+            answers.push((ms + 50, ms, index));
+            let is_told = host.told_at.is_some_and(|told_at| ms >= told_at + 500);
+            if is_told && (CONTACT_MS..need_ends).contains(&ms) {
+                counted.push(ms);
+            }
+        }
+    }
+    let windows = counted.iter().map(|&start| {
+        let window = start..start + WINDOW_MS;
+        counted.iter().filter(|time| window.contains(time)).count()
+    });
+    let known = fleet.iter().filter(|host| host.table.is_limited("s"));
+    (windows.max().unwrap_or(0), known.count())
+}
+
+/// The rate holds over hosts that restart, are cut off or lose datagrams, and ends at all of them.
+#[test]
+fn share_kept_by_all_hosts() {
+    for seed in 1..=6 {
+        for (count, per_ks) in [(3, 1_000), (7, 1_300), (9, 10_000)] {
+            let (sent, known) = simulate(seed, count, per_ks, 200);
+            assert!(
+                sent as u64 <= most(per_ks),
+                "seed {seed}: {sent} of {per_ks}"
+            );
+            assert_eq!(known, 0, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn share_kept_by_hundreds_of_hosts() {
+    let (sent, known) = simulate(1, 295, 1_000, 600);
+    assert!(sent as u64 <= most(1_000), "{sent}");
+    assert_eq!(known, 0);
+}
