Log the positions of reads and the timeline of the store

The logs couldn't tell a read from an old offset from an answer of the old store. Answers of the store name its timeline, which ascends when it returns from an older copy; relayed answers pass it on. A position is logged when a topic is read from the start, and when the timeline of its answers changes.

The servers' topic is read on from an old offset at all hosts.

--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -107,6 +107,17 @@
         /// The caller.
         from: SocketAddr,
     },
+    /// The store answered from another timeline than before, or a topic was read from the start.
+    Position {
+        /// The topic.
+        topic: &'a str,
+        /// Timeline of the answer.
+        timeline: u64,
+        /// Offset of the next read.
+        offset: u64,
+        /// Reason.
+        why: &'a str,
+    },
     /// The process was paused.
     Paused {
         /// Duration of the pause.
@@ -350,6 +361,15 @@
             Event::Unsealed { from, what } => {
                 slog::warn!(log, "not sealed"; "from" => %from, "what" => what);
             }
+            Event::Position {
+                topic,
+                timeline,
+                offset,
+                why,
+            } => {
+                slog::info!(log, "position"; "topic" => topic, "timeline" => timeline,
+                    "offset" => offset, "why" => why);
+            }
             Event::Paused { ms } => slog::warn!(log, "paused"; "ms" => ms),
             Event::Configuration { version, before } => {
                 slog::info!(log, "configuration"; "version" => version, "before" => before);
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -197,11 +197,21 @@
     Heartbeat(Box<Heartbeat>),
 }
 
+/// A successful answer of the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(in crate::shell::gateway) struct Answer {
+    /// Timeline of the store that answered.
+    pub(in crate::shell::gateway) timeline: u64,
+    pub(in crate::shell::gateway) body: Bytes,
+}
+
 /// Outcome of a relayed call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::shell::gateway) enum Relayed {
-    /// The body of the store's response.
-    Answer(Bytes),
+    /// The store's answer.
+    Answer(Answer),
+    /// The store confirmed a heartbeat.
+    Written,
     /// The store no longer keeps the records.
     Gone,
     /// The store did not answer this host either.
--- a/src/shell/gateway/peers/mod.rs
+++ b/src/shell/gateway/peers/mod.rs
@@ -29,6 +29,7 @@
     send_progress, //
 };
 pub(super) use message::{
+    Answer,
     Batch,
     Free,
     Progress,
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -126,7 +126,7 @@
         let message = Relay::Heartbeat(Box::new(heartbeat.clone()));
         let timeout_ms = GATHER_MS + CALL_TIMEOUT_MS;
         match peers::relay(gateway, address, &message, timeout_ms).await {
-            Ok(Relayed::Answer(_)) => return Ok(()),
+            Ok(Relayed::Answer(_) | Relayed::Written) => return Ok(()),
             Ok(Relayed::Gone | Relayed::Failed) => is_refused = true,
             Err(error) => gateway.suspect(&name, &error),
         }
@@ -139,8 +139,7 @@
 
 async fn send_directly(gateway: &Gateway, heartbeat: &Heartbeat) -> Result<(), Error> {
     let message = Relay::Heartbeat(Box::new(heartbeat.clone()));
-    call(gateway, message, CALL_TIMEOUT_MS).await?;
-    Ok(())
+    call(gateway, message, CALL_TIMEOUT_MS).await.map(drop)
 }
 
 /// Generates a key for this host, unless its last incarnation left one in the store, which other
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use http::HeaderMap;
 use opentelemetry::KeyValue;
 use tokio::sync::Notify;
 
@@ -23,6 +23,7 @@
     log::Event,
     peers::{
         self,
+        Answer,
         Relay,
         Relayed,
         Shared, //
@@ -123,6 +124,8 @@
     loaded_topics: RefCell<BTreeSet<Topic>>,
     // When this host last read topics that their readers can't.
     tried_at: RefCell<BTreeMap<Topic, Instant>>,
+    // Timeline of the last answer for each topic.
+    timelines: RefCell<BTreeMap<Topic, u64>>,
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
     relay_turn: Cell<usize>,
@@ -197,9 +200,11 @@
 
 /// Calls the store, and has other hosts relay the call if it fails: the store may refuse only this
 /// host.
-async fn call(gateway: &Gateway, relay: Relay, limit_ms: u64) -> Result<Bytes, Error> {
+///
+/// Returns `None` if another host wrote a heartbeat, whose answer isn't passed on.
+async fn call(gateway: &Gateway, relay: Relay, limit_ms: u64) -> Result<Option<Answer>, Error> {
     let error = match call_directly(gateway, &relay, limit_ms).await {
-        Ok(body) => return Ok(body),
+        Ok(answer) => return Ok(Some(answer)),
         Err(error) => error,
     };
     if matches!(error, Error::Status(GONE)) {
@@ -207,7 +212,8 @@
     }
     for address in relay_hosts(gateway) {
         match peers::relay(gateway, address, &relay, limit_ms).await {
-            Ok(Relayed::Answer(body)) => return Ok(body),
+            Ok(Relayed::Answer(answer)) => return Ok(Some(answer)),
+            Ok(Relayed::Written) => return Ok(None),
             Ok(Relayed::Gone) => return Err(Error::Status(GONE)),
             // The error of the direct call is returned, not those of the relays.
             Ok(Relayed::Failed) | Err(_) => {}
@@ -216,6 +222,12 @@
     Err(error)
 }
 
+/// Reads from the store, through other hosts if it fails.
+async fn read(gateway: &Gateway, relay: Relay, limit_ms: u64) -> Result<Answer, Error> {
+    let answer = call(gateway, relay, limit_ms).await?;
+    answer.ok_or(Error::Reader)
+}
+
 /// Returns hosts that may reach the store, in round-robin order.
 fn relay_hosts(gateway: &Gateway) -> Vec<SocketAddr> {
     let hosts = gateway.hosts.borrow();
@@ -242,20 +254,20 @@
         Relay::Heartbeat(heartbeat) => {
             let is_written = heartbeats::gather(gateway, (**heartbeat).clone()).await;
             return if is_written {
-                Relayed::Answer(Bytes::new())
+                Relayed::Written
             } else {
                 Relayed::Failed
             };
         }
     };
     match call_directly(gateway, &relay, limit_ms).await {
-        Ok(body) => Relayed::Answer(body),
+        Ok(answer) => Relayed::Answer(answer),
         Err(Error::Status(GONE)) => Relayed::Gone,
         Err(_) => Relayed::Failed,
     }
 }
 
-async fn call_directly(gateway: &Gateway, relay: &Relay, limit_ms: u64) -> Result<Bytes, Error> {
+async fn call_directly(gateway: &Gateway, relay: &Relay, limit_ms: u64) -> Result<Answer, Error> {
     let adapter = &gateway.adapter;
     let call = match relay {
         Relay::Newest { topic, after } => adapter.newest(*topic, after.as_deref()),
@@ -271,7 +283,7 @@
     exchange_within(gateway, call, limit_ms).await
 }
 
-async fn exchange_within(gateway: &Gateway, call: Call, limit_ms: u64) -> Result<Bytes, Error> {
+async fn exchange_within(gateway: &Gateway, call: Call, limit_ms: u64) -> Result<Answer, Error> {
     let address = gateway.options.borrow().store;
     let limit = Duration::from_millis(limit_ms);
     let exchange = exchange(gateway, address, call);
@@ -280,7 +292,7 @@
         .unwrap_or(Err(Error::Silent(limit_ms)))
 }
 
-async fn exchange(gateway: &Gateway, address: SocketAddr, call: Call) -> Result<Bytes, Error> {
+async fn exchange(gateway: &Gateway, address: SocketAddr, call: Call) -> Result<Answer, Error> {
     let request = upstream::request(address, call);
     let request = request.map_err(|error| Error::Call(error.to_string()))?;
     let response = gateway
@@ -288,11 +300,34 @@
         .exchange(&POOL_KEY.into(), address, request, MAX_ANSWER_BYTES)
         .await?;
     match response.status().as_u16() {
-        200 => Ok(response.into_body()),
+        200 => Ok(Answer {
+            timeline: timeline(gateway, response.headers()),
+            body: response.into_body(),
+        }),
         status => Err(Error::Status(status)),
     }
 }
 
+/// Returns the timeline that an answer names. A store that never returns from a copy names none.
+fn timeline(gateway: &Gateway, headers: &HeaderMap) -> u64 {
+    let value = headers.get(&gateway.adapter.headers().store_timeline);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Logs an answer from another timeline than the answer before.
+fn observe_timeline(gateway: &Gateway, topic: Topic, timeline: u64, offset: u64) {
+    let before = gateway.store.timelines.borrow_mut().insert(topic, timeline);
+    if before.is_some_and(|before| before != timeline) {
+        gateway.log.write(&Event::Position {
+            topic: topic_name(topic),
+            timeline,
+            offset,
+            why: "timeline changed",
+        });
+    }
+}
+
 async fn follow(gateway: Rc<Gateway>, topic: Topic) {
     let mut from: Option<u64> = None;
     let mut failures: u64 = 0;
@@ -396,8 +431,9 @@
             topic,
             after: after_key,
         };
-        let body = call(gateway, request, CALL_TIMEOUT_MS).await?;
-        let page = gateway.adapter.newest_page(&body)?;
+        let answer = read(gateway, request, CALL_TIMEOUT_MS).await?;
+        let page = gateway.adapter.newest_page(&answer.body)?;
+        observe_timeline(gateway, topic, answer.timeline, page.end);
         // Records that are added while the pages are read are read again from the end that the
         // first page states.
         from = from.or(Some(page.end));
@@ -416,7 +452,15 @@
         Topic::Hosts => heartbeats::ensure_key(gateway),
     }
     gateway.store.loaded_topics.borrow_mut().insert(topic);
-    Ok(from.unwrap_or(0))
+    let offset = from.unwrap_or(0);
+    let timelines = gateway.store.timelines.borrow();
+    gateway.log.write(&Event::Position {
+        topic: topic_name(topic),
+        timeline: timelines.get(&topic).copied().unwrap_or(0),
+        offset,
+        why: "loaded",
+    });
+    Ok(offset)
 }
 
 async fn tail(gateway: &Gateway, topic: Topic, from: u64) -> Result<u64, Error> {
@@ -426,20 +470,21 @@
         wait_ms: LONG_POLL_MS,
     };
     let limit_ms = LONG_POLL_MS + CALL_TIMEOUT_MS;
-    let body = match shared::fetch(gateway, topic, from).await {
+    let answer = match shared::fetch(gateway, topic, from).await {
         Shared::Records(tail) => {
             let records = tail.records.into_iter().map(|(_, record)| record);
             apply(gateway, topic, records.collect(), false);
             return Ok(tail.next);
         }
-        Shared::Missing => call(gateway, request, limit_ms).await?,
+        Shared::Missing => read(gateway, request, limit_ms).await?,
         // The reader tried other hosts as well, so this one tries only itself, and seldom.
         Shared::Unavailable if gateway.store.try_read(gateway.now(), topic) => {
             call_directly(gateway, &request, limit_ms).await?
         }
         Shared::Unavailable => return Err(Error::Reader),
     };
-    let tail = gateway.adapter.tail_records(from, &body)?;
+    observe_timeline(gateway, topic, answer.timeline, from);
+    let tail = gateway.adapter.tail_records(from, &answer.body)?;
     shared::record_read(gateway, topic, from, &tail);
     let records = tail.records.into_iter().map(|(_, record)| record);
     apply(gateway, topic, records.collect(), false);
