Keep offsets of the store together with its timeline

What callers saw: after the store had come back from a copy some seconds old, a host that couldn't reach it at that moment answered 404 for a route that was acknowledged, served one by its old service, and sent a request with homes elsewhere.

Cause: an offset was taken for the identity of a record. The store gives offsets out again when it returns from a copy; a host whose offset exists again by the time it reads went on behind the new records. The same offset was kept in the buffer that the reader of a data centre has for others, in requests to it, in relayed reads and between the pages of a full read. Class: a position without the history it is in.

Change: a position is an offset with the timeline that answers of the store name. A newer timeline has the topic read from the start, and that for one topic is enough for all; an older one is a late answer, and dropped.

--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod lookup;
 pub mod mac;
 pub mod plan;
+pub mod position;
 pub mod quarantine;
 pub mod quota;
 pub mod rate;
--- a/src/core/gateway/recent.rs
+++ b/src/core/gateway/recent.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 
+use super::position::Position;
 use crate::{
     edges::gateway::{
         Record,
@@ -22,22 +23,25 @@
     records: VecDeque<(Instant, u64, Record)>,
     // Offset from which the buffer is complete.
     start: u64,
-    // Offset after the last record.
-    next: u64,
+    // Position after the last record.
+    next: Position,
     read_at: Option<Instant>,
 }
 
 impl Buffer {
-    /// Records the result of a read from an offset.
-    pub fn record(&mut self, now: Instant, from: u64, tail: &Tail) {
+    /// Records the result of a read from a position.
+    pub fn record(&mut self, now: Instant, from: Position, tail: &Tail) {
         if from != self.next {
             self.records.clear();
-            self.start = from;
+            self.start = from.offset;
         }
         let records = tail.records.iter();
         let records = records.map(|(offset, record)| (now, *offset, record.clone()));
         self.records.extend(records);
-        self.next = tail.next;
+        self.next = Position {
+            offset: tail.next,
+            ..from
+        };
         self.read_at = Some(now);
         while let Some((_, offset, _)) = self
             .records
@@ -49,22 +53,23 @@
         }
     }
 
-    /// Returns the records from an offset. Returns `None` if some were evicted or the last read is
-    /// older than `max_age_ms`.
-    pub fn since(&self, now: Instant, from: u64, max_age_ms: u64) -> Option<Tail> {
+    /// Returns the records from a position. Returns `None` if some were evicted, the last read is older
+    /// than `max_age_ms`, or the position is of another timeline than the records.
+    pub fn since(&self, now: Instant, from: Position, max_age_ms: u64) -> Option<Tail> {
         let is_fresh = self
             .read_at
             .is_some_and(|at| now.since_ms(at) <= max_age_ms);
-        if !is_fresh || from < self.start {
+        if !is_fresh || from.timeline != self.next.timeline || from.offset < self.start {
             return None;
         }
-        let records = self.records.iter().filter(|(_, offset, _)| *offset >= from);
+        let records = self.records.iter();
+        let records = records.filter(|(_, offset, _)| *offset >= from.offset);
         Some(Tail {
             records: records
                 .map(|(_, offset, record)| (*offset, record.clone()))
                 .collect(),
             // The requesting host may have read further by itself.
-            next: self.next.max(from),
+            next: self.next.offset.max(from.offset),
         })
     }
 }
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -12,6 +12,7 @@
     core::gateway::{
         balance::Segment,
         cache,
+        position::Position,
         quarantine, //
     },
     names::Name,
@@ -107,16 +108,14 @@
         /// The caller.
         from: SocketAddr,
     },
-    /// The store answered from another timeline than before, or a topic was read from the start.
+    /// A topic of the store was read from the start.
     Position {
         /// The topic.
         topic: &'a str,
-        /// Timeline of the answer.
-        timeline: u64,
-        /// Offset of the next read.
-        offset: u64,
-        /// Reason.
-        why: &'a str,
+        /// Position of the next read.
+        position: Position,
+        /// Timeline of what was known of the topic before.
+        before: Option<u64>,
     },
     /// The process was paused.
     Paused {
@@ -363,12 +362,11 @@
             }
             Event::Position {
                 topic,
-                timeline,
-                offset,
-                why,
+                position,
+                before,
             } => {
-                slog::info!(log, "position"; "topic" => topic, "timeline" => timeline,
-                    "offset" => offset, "why" => why);
+                slog::info!(log, "position"; "topic" => topic, "timeline" => position.timeline,
+                    "offset" => position.offset, "before" => before);
             }
             Event::Paused { ms } => slog::warn!(log, "paused"; "ms" => ms),
             Event::Configuration { version, before } => {
--- a/src/shell/gateway/peers/bootstrap.rs
+++ b/src/shell/gateway/peers/bootstrap.rs
@@ -109,6 +109,7 @@
     };
     Some(Snapshot {
         staleness_ms: gateway.store.staleness_ms(now),
+        timeline: gateway.store.timeline(),
         config,
         drained: servers.drained().iter().cloned().collect(),
         servers: servers.entries(now),
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -13,6 +13,7 @@
         batch::Piece,
         hosts::Heartbeat,
         plan::Input,
+        position::Position,
         servers, //
     },
     edges::gateway::{
@@ -222,8 +223,8 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(in crate::shell::gateway) struct Recent {
     pub(in crate::shell::gateway) topic: Topic,
-    /// Offset of the first requested record.
-    pub(in crate::shell::gateway) from: u64,
+    /// Position of the first requested record.
+    pub(in crate::shell::gateway) from: Position,
 }
 
 /// Answer to [`Recent`].
@@ -233,7 +234,7 @@
     Records(Tail),
     /// The store doesn't answer the reader, directly or through other hosts.
     Unavailable,
-    /// The host isn't a reader, or no longer has these records.
+    /// The host isn't a reader, no longer has these records, or has those of another timeline.
     Missing,
 }
 
@@ -242,6 +243,8 @@
 pub(in crate::shell::gateway) struct Snapshot {
     /// Time since the store was last read, in milliseconds.
     pub(in crate::shell::gateway) staleness_ms: u64,
+    /// Timeline of the store at that time.
+    pub(in crate::shell::gateway) timeline: u64,
     /// The operators' record with the configuration, as it is stored.
     pub(in crate::shell::gateway) config: Record,
     /// Data centres that are drained.
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -37,6 +37,7 @@
 pub(in crate::shell::gateway) fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot) {
     let now = gateway.now();
     let state = &gateway.store;
+    state.learn_timeline(snapshot.timeline);
     if !state.has_read(Topic::Operator) {
         apply_directive(gateway, &snapshot.config);
         let out = gateway.servers.borrow().drained().clone();
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -33,6 +33,11 @@
 use crate::{
     core::gateway::{
         hosts::HEARTBEAT_INTERVAL_MS,
+        position::{
+            self,
+            Continuity,
+            Position, //
+        },
         recent::Buffer, //
     },
     edges::gateway::{
@@ -124,7 +129,9 @@
     loaded_topics: RefCell<BTreeSet<Topic>>,
     // When this host last read topics that their readers can't.
     tried_at: RefCell<BTreeMap<Topic, Instant>>,
-    // Timeline of the last answer for each topic.
+    // Timeline of the newest answer. All topics belong to one store.
+    timeline: Cell<u64>,
+    // Timeline of what this host knows of each topic.
     timelines: RefCell<BTreeMap<Topic, u64>>,
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
@@ -142,6 +149,14 @@
         self.loaded_topics.borrow().contains(&topic)
     }
 
+    /// Records the timeline of a snapshot for the topics that were not read yet.
+    fn learn_timeline(&self, timeline: u64) {
+        let mut timelines = self.timelines.borrow_mut();
+        for topic in TOPICS.into_iter().filter(|&topic| !self.has_read(topic)) {
+            timelines.insert(topic, timeline);
+        }
+    }
+
     /// Returns whether the last call for any topic failed.
     pub(super) fn is_failing(&self) -> bool {
         !self.failing_topics.borrow().is_empty()
@@ -163,6 +178,11 @@
         is_due
     }
 
+    /// Returns the timeline of the newest answer.
+    pub(super) fn timeline(&self) -> u64 {
+        self.timeline.get()
+    }
+
     /// Returns the time since the operators' topic was last read, in milliseconds.
     pub(super) fn staleness_ms(&self, now: Instant) -> u64 {
         self.read_at
@@ -183,6 +203,10 @@
     Call(String),
     #[error("{0}")]
     Malformed(#[from] crate::edges::gateway::Error),
+    #[error("the store returned from a copy, timeline {timeline} after {known}")]
+    Restored { timeline: u64, known: u64 },
+    #[error("late answer of timeline {timeline}, known is {known}")]
+    Outdated { timeline: u64, known: u64 },
     #[error("the store does not answer the host that reads it")]
     Reader,
     #[error("the store does not answer the hosts that write to it")]
@@ -315,24 +339,24 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
-/// Logs an answer from another timeline than the answer before.
-fn observe_timeline(gateway: &Gateway, topic: Topic, timeline: u64, offset: u64) {
-    let before = gateway.store.timelines.borrow_mut().insert(topic, timeline);
-    if before.is_some_and(|before| before != timeline) {
-        gateway.log.write(&Event::Position {
-            topic: topic_name(topic),
-            timeline,
-            offset,
-            why: "timeline changed",
-        });
+/// Checks that an answer continues what was read before on a timeline.
+fn check_timeline(gateway: &Gateway, known: u64, timeline: u64) -> Result<(), Error> {
+    let newest = &gateway.store.timeline;
+    newest.set(newest.get().max(timeline));
+    match position::continuity(known, timeline) {
+        Continuity::Same => Ok(()),
+        Continuity::Restored => Err(Error::Restored { timeline, known }),
+        Continuity::Outdated => Err(Error::Outdated { timeline, known }),
     }
 }
 
 async fn follow(gateway: Rc<Gateway>, topic: Topic) {
-    let mut from: Option<u64> = None;
+    let mut from: Option<Position> = None;
     let mut failures: u64 = 0;
     let mut reads: u32 = 0;
     loop {
+        // An answer for another topic shows as well that the store returned from a copy.
+        from = from.filter(|from| from.timeline == gateway.store.timeline());
         let step = match from {
             None => load(&gateway, topic).await,
             Some(from) => tail(&gateway, topic, from).await,
@@ -346,6 +370,7 @@
                 let pause_ms = pause_ms(topic, reads, shared::is_reader(&gateway, topic));
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
+            Err(Error::Restored { .. }) => from = None,
             Err(error) => {
                 if matches!(error, Error::Status(GONE) | Error::Malformed(_)) {
                     from = None;
@@ -380,8 +405,8 @@
     ];
     gateway.metrics.store_calls.add(1, &labels);
     match error {
-        // Not a failure: the store may drop old records.
-        Some(Error::Status(GONE)) => {}
+        // Not a failure: the store may drop old records, and return from a copy.
+        Some(Error::Status(GONE) | Error::Restored { .. }) => {}
         Some(error) => {
             state.failed_at.set(Some(now));
             if topic == Topic::Hosts {
@@ -421,10 +446,10 @@
     }
 }
 
-async fn load(gateway: &Gateway, topic: Topic) -> Result<u64, Error> {
+async fn load(gateway: &Gateway, topic: Topic) -> Result<Position, Error> {
     let mut records = Vec::new();
     let mut after: Option<Name> = None;
-    let mut from = None;
+    let mut from: Option<Position> = None;
     loop {
         let after_key = after.clone();
         let request = Relay::Newest {
@@ -433,16 +458,25 @@
         };
         let answer = read(gateway, request, CALL_TIMEOUT_MS).await?;
         let page = gateway.adapter.newest_page(&answer.body)?;
-        observe_timeline(gateway, topic, answer.timeline, page.end);
+        // The first page may be of a newer timeline than what is known.
+        let known = from.map_or(gateway.store.timeline().max(answer.timeline), |from| {
+            from.timeline
+        });
+        check_timeline(gateway, known, answer.timeline)?;
         // Records that are added while the pages are read are read again from the end that the
         // first page states.
-        from = from.or(Some(page.end));
+        let start = Position {
+            timeline: answer.timeline,
+            offset: page.end,
+        };
+        from = from.or(Some(start));
         after = page.records.last().map(|record| record.key.clone());
         records.extend(page.records);
         if !page.has_more || after.is_none() {
             break;
         }
     }
+    let from = from.unwrap_or_default();
     let keys: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
     apply(gateway, topic, records, true);
     remove_missing(gateway, topic, &keys);
@@ -452,21 +486,23 @@
         Topic::Hosts => heartbeats::ensure_key(gateway),
     }
     gateway.store.loaded_topics.borrow_mut().insert(topic);
-    let offset = from.unwrap_or(0);
-    let timelines = gateway.store.timelines.borrow();
+    let before = gateway
+        .store
+        .timelines
+        .borrow_mut()
+        .insert(topic, from.timeline);
     gateway.log.write(&Event::Position {
         topic: topic_name(topic),
-        timeline: timelines.get(&topic).copied().unwrap_or(0),
-        offset,
-        why: "loaded",
+        position: from,
+        before,
     });
-    Ok(offset)
+    Ok(from)
 }
 
-async fn tail(gateway: &Gateway, topic: Topic, from: u64) -> Result<u64, Error> {
+async fn tail(gateway: &Gateway, topic: Topic, from: Position) -> Result<Position, Error> {
     let request = Relay::Tail {
         topic,
-        from,
+        from: from.offset,
         wait_ms: LONG_POLL_MS,
     };
     let limit_ms = LONG_POLL_MS + CALL_TIMEOUT_MS;
@@ -474,7 +510,10 @@
         Shared::Records(tail) => {
             let records = tail.records.into_iter().map(|(_, record)| record);
             apply(gateway, topic, records.collect(), false);
-            return Ok(tail.next);
+            return Ok(Position {
+                offset: tail.next,
+                ..from
+            });
         }
         Shared::Missing => read(gateway, request, limit_ms).await?,
         // The reader tried other hosts as well, so this one tries only itself, and seldom.
@@ -483,10 +522,13 @@
         }
         Shared::Unavailable => return Err(Error::Reader),
     };
-    observe_timeline(gateway, topic, answer.timeline, from);
-    let tail = gateway.adapter.tail_records(from, &answer.body)?;
+    check_timeline(gateway, from.timeline, answer.timeline)?;
+    let tail = gateway.adapter.tail_records(from.offset, &answer.body)?;
     shared::record_read(gateway, topic, from, &tail);
     let records = tail.records.into_iter().map(|(_, record)| record);
     apply(gateway, topic, records.collect(), false);
-    Ok(tail.next)
+    Ok(Position {
+        offset: tail.next,
+        ..from
+    })
 }
--- a/src/shell/gateway/store/shared.rs
+++ b/src/shell/gateway/store/shared.rs
@@ -10,6 +10,7 @@
     topic_name, //
 };
 use crate::{
+    core::gateway::position::Position,
     edges::gateway::{
         Tail,
         Topic, //
@@ -69,9 +70,9 @@
     hosts.reader(now, &gateway.identity.data_centre, topic_name(topic))
 }
 
-/// Fetches the records from an offset on from the reader of a topic. They are missing if this host is
+/// Fetches the records from a position on from the reader of a topic. They are missing if this host is
 /// the reader or there is none, or if it fails.
-pub(super) async fn fetch(gateway: &Gateway, topic: Topic, from: u64) -> Shared {
+pub(super) async fn fetch(gateway: &Gateway, topic: Topic, from: Position) -> Shared {
     let reader = reader(gateway, topic).filter(|(name, _)| *name != gateway.identity.host);
     let Some((name, address)) = reader else {
         return Shared::Missing;
@@ -88,7 +89,7 @@
 }
 
 /// Records a read of the store, for other hosts.
-pub(super) fn record_read(gateway: &Gateway, topic: Topic, from: u64, tail: &Tail) {
+pub(super) fn record_read(gateway: &Gateway, topic: Topic, from: Position, tail: &Tail) {
     let now = gateway.now();
     gateway
         .store
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod mac;
 mod plan;
+mod position;
 mod quarantine;
 mod quota;
 mod rate;
