Don't let relays through hosts that are away hold up reads of the store

Cause: a read that fails is tried through two other hosts, each for the whole time of a long poll, 2.7 s. Hosts that are cut off answer nothing, so the next direct read came after 5.4 s. Class: a timeout that is meant for a slow answer, used to detect a dead peer.

--- a/src/shell/gateway/peers/client.rs
+++ b/src/shell/gateway/peers/client.rs
@@ -64,20 +64,32 @@
     Ok(())
 }
 
-/// Has a host run pieces. Pings it while the answer is outstanding, so that a host that failed is
-/// detected before the timeout.
+/// Has a host run pieces.
 pub(in crate::shell::gateway) async fn run_pieces(
     gateway: &Gateway,
     address: SocketAddr,
     batch: &Batch,
     timeout_ms: u64,
 ) -> Result<Reply, Error> {
-    let answer = call(gateway, address, Path::Pieces, batch, timeout_ms);
+    let body = call_with_pings(gateway, address, Path::Pieces, batch, timeout_ms).await?;
+    postcard::from_bytes(&body).map_err(malformed)
+}
+
+/// Calls a host, and pings it while the answer is outstanding, so that a host that failed is detected
+/// before the timeout.
+async fn call_with_pings<T: Serialize>(
+    gateway: &Gateway,
+    address: SocketAddr,
+    path: Path,
+    message: &T,
+    timeout_ms: u64,
+) -> Result<Bytes, Error> {
+    let answer = call(gateway, address, path, message, timeout_ms);
     tokio::pin!(answer);
     loop {
         let pause = tokio::time::sleep(Duration::from_millis(PING_INTERVAL_MS));
         tokio::select! {
-            body = &mut answer => return postcard::from_bytes(&body?).map_err(malformed),
+            body = &mut answer => return body,
             () = pause => ping(gateway, address).await?,
         }
     }
@@ -105,14 +117,15 @@
     Ok(())
 }
 
-/// Has a host call the store on behalf of this one.
+/// Has a host call the store on behalf of this one. The answer to a long poll takes long, and a host that
+/// failed must not delay the next try.
 pub(in crate::shell::gateway) async fn relay(
     gateway: &Gateway,
     address: SocketAddr,
     relay: &Relay,
     timeout_ms: u64,
 ) -> Result<Relayed, Error> {
-    let body = call(gateway, address, Path::Relay, relay, timeout_ms).await?;
+    let body = call_with_pings(gateway, address, Path::Relay, relay, timeout_ms).await?;
     postcard::from_bytes(&body).map_err(malformed)
 }
 
