Don't take older entries of servers from a copy of the store

What callers would see: after the store returned from a copy, requests go to servers that had said that they leave, or that had left, until these write again; servers that have joined since are dropped.

Cause: a complete read replaces what is known of a server, whichever is newer.

Change: a full read after the timeline changed counts as a copy. An entry from it replaces a known one only if the server wrote it later, by its start and the number of the entry. Servers that have left are remembered for 60 s. Those that the copy lacks get the time to register again that they have after an outage.

--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -22,6 +22,10 @@
 /// milliseconds. Live servers register again about two seconds after the registry recovers.
 const EXPIRY_DELAY_MS: u64 = 2_000;
 
+/// Time for which it is remembered that a server has left, in milliseconds: longer than the registry is
+/// away, and than the age of a copy from which it returns.
+const LEFT_RETENTION_MS: u64 = 60_000;
+
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -41,6 +45,36 @@
     pub cold_ms: u64,
     /// Start time as it reports it, for the detection of restarts.
     pub started_at: Option<u64>,
+    /// Number of the registration, ascending from the server's start.
+    pub sequence: Option<u64>,
+}
+
+impl Entry {
+    /// Returns whether the server wrote this entry after another one of the same id. Entries that don't
+    /// say when they were written count as newer.
+    fn is_newer_than(&self, known: Version) -> bool {
+        let (Some(started_at), Some(known_start)) = (self.started_at, known.started_at) else {
+            return true;
+        };
+        let (Some(sequence), Some(known_sequence)) = (self.sequence, known.sequence) else {
+            return started_at >= known_start;
+        };
+        (started_at, sequence) > (known_start, known_sequence)
+    }
+
+    fn version(&self) -> Version {
+        Version {
+            started_at: self.started_at,
+            sequence: self.sequence,
+        }
+    }
+}
+
+/// When a server wrote an entry, by its own counts.
+#[derive(Clone, Copy, Debug)]
+struct Version {
+    started_at: Option<u64>,
+    sequence: Option<u64>,
 }
 
 /// A backend server as this host knows it.
@@ -71,6 +105,8 @@
 pub struct Table {
     servers: BTreeMap<Name, Server>,
     drained: BTreeSet<Name>,
+    // Servers that have left, with their last entries, and when.
+    left: BTreeMap<Name, (Version, Instant)>,
 }
 
 impl Table {
@@ -90,8 +126,9 @@
                 server.vanished_at.get_or_insert(now);
                 return None;
             }
-            return self.servers.remove(id).map(|_| Change::Left(id.clone()));
+            return self.remove(now, id).then(|| Change::Left(id.clone()));
         };
+        self.left.remove(id);
         let cold_until = now.after_ms(entry.cold_ms);
         let old = self.servers.insert(
             id.clone(),
@@ -110,6 +147,28 @@
         }
     }
 
+    /// Applies the newest entry of a server in a copy from which the registry has returned, `None` if there
+    /// is none.
+    ///
+    /// The copy is older than what is known. A server that joined since registers again; one that was
+    /// leaving or had left must not come back.
+    pub fn restore(&mut self, now: Instant, id: &Name, entry: Option<Entry>) -> Option<Change> {
+        let known = self.servers.get(id).map(|server| server.entry.version());
+        let known = known.or_else(|| self.left.get(id).map(|(version, _)| *version));
+        match (&entry, known) {
+            (Some(entry), Some(known)) if !entry.is_newer_than(known) => None,
+            _ => self.update(now, id, entry, true),
+        }
+    }
+
+    fn remove(&mut self, now: Instant, id: &Name) -> bool {
+        let Some(server) = self.servers.remove(id) else {
+            return false;
+        };
+        self.left.insert(id.clone(), (server.entry.version(), now));
+        true
+    }
+
     /// Removes and returns the servers whose entries vanished and did not return in time.
     pub fn expire(&mut self, now: Instant) -> Vec<Name> {
         let expired: Vec<Name> = self
@@ -122,8 +181,10 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.servers.remove(id);
+            self.remove(now, id);
         }
+        self.left
+            .retain(|_, (_, left_at)| now.since_ms(*left_at) < LEFT_RETENTION_MS);
         expired
     }
 
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -13,14 +13,7 @@
     quarantines, //
 };
 use crate::{
-    core::gateway::{
-        config::Config,
-        hosts::Heartbeat,
-        servers::{
-            Change,
-            Entry, //
-        },
-    },
+    core::gateway::{config::Config, hosts::Heartbeat, servers::Change},
     edges::gateway::{
         Directive,
         Record,
@@ -33,6 +26,17 @@
 /// may have expired, and are back about two seconds after the store.
 const UNSTABLE_MS: u64 = 3_000;
 
+/// Where records come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// The log: they are newer than what is known.
+    Log,
+    /// A read of the newest of each key: they are as new as what is known, or newer.
+    Newest,
+    /// Such a read after the store returned from a copy: they may be older than what is known.
+    Copy,
+}
+
 /// Applies a snapshot of another host to the topics that were not read from the store yet.
 pub(in crate::shell::gateway) fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot) {
     let now = gateway.now();
@@ -56,9 +60,13 @@
             .collect();
         for entry in snapshot.servers {
             let id = entry.id.clone();
-            update_server(gateway, &id, Some(entry), false);
+            let change = gateway
+                .servers
+                .borrow_mut()
+                .update(now, &id, Some(entry), false);
+            log_server(gateway, &id, change);
         }
-        remove_missing(gateway, Topic::Servers, &keys);
+        remove_missing(gateway, Topic::Servers, &keys, Origin::Newest);
         state.has_servers.set(true);
     }
     if !state.has_read(Topic::Hosts) {
@@ -71,7 +79,12 @@
 }
 
 /// Removes what is known but missing from a complete read of a topic.
-pub(super) fn remove_missing(gateway: &Gateway, topic: Topic, keys: &BTreeSet<Name>) {
+pub(super) fn remove_missing(
+    gateway: &Gateway,
+    topic: Topic,
+    keys: &BTreeSet<Name>,
+    origin: Origin,
+) {
     let known = match topic {
         Topic::Servers => gateway.servers.borrow().ids(),
         Topic::Operator => {
@@ -90,16 +103,16 @@
         Topic::Hosts => return,
     };
     for key in known.into_iter().filter(|key| !keys.contains(key)) {
-        apply(gateway, topic, vec![Record { key, value: None }], true);
+        apply(gateway, topic, vec![Record { key, value: None }], origin);
     }
 }
 
-pub(super) fn apply(gateway: &Gateway, topic: Topic, records: Vec<Record>, is_old: bool) {
+pub(super) fn apply(gateway: &Gateway, topic: Topic, records: Vec<Record>, origin: Origin) {
     for record in &records {
         match topic {
             Topic::Operator => apply_directive(gateway, record),
-            Topic::Servers => apply_server(gateway, record),
-            Topic::Hosts => apply_host(gateway, record, is_old),
+            Topic::Servers => apply_server(gateway, record, origin),
+            Topic::Hosts => apply_host(gateway, record, origin != Origin::Log),
         }
     }
 }
@@ -149,7 +162,7 @@
     }
 }
 
-pub(super) fn apply_server(gateway: &Gateway, record: &Record) {
+pub(super) fn apply_server(gateway: &Gateway, record: &Record, origin: Origin) {
     let now = gateway.now();
     let failed = gateway.store.failed_at.get();
     let is_unstable = failed.is_some_and(|at| now.since_ms(at) < UNSTABLE_MS);
@@ -160,21 +173,19 @@
             None
         }
     };
-    // Only a missing entry may have expired.
-    update_server(
-        gateway,
-        &record.key,
-        entry,
-        is_unstable && record.value.is_none(),
-    );
+    let mut servers = gateway.servers.borrow_mut();
+    let change = if origin == Origin::Copy {
+        servers.restore(now, &record.key, entry)
+    } else {
+        // Only a missing entry may have expired.
+        let may_have_expired = is_unstable && record.value.is_none();
+        servers.update(now, &record.key, entry, may_have_expired)
+    };
+    drop(servers);
+    log_server(gateway, &record.key, change);
 }
 
-fn update_server(gateway: &Gateway, id: &Name, entry: Option<Entry>, is_unstable: bool) {
-    let now = gateway.now();
-    let change = gateway
-        .servers
-        .borrow_mut()
-        .update(now, id, entry, is_unstable);
+fn log_server(gateway: &Gateway, id: &Name, change: Option<Change>) {
     let change = match change {
         None => return,
         Some(Change::Joined(_)) => "joined",
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -56,6 +56,7 @@
 
 pub(super) use apply::apply_snapshot;
 use apply::{
+    Origin,
     apply,
     remove_missing, //
 };
@@ -478,19 +479,25 @@
     }
     let from = from.unwrap_or_default();
     let keys: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
-    apply(gateway, topic, records, true);
-    remove_missing(gateway, topic, &keys);
+    let before = gateway
+        .store
+        .timelines
+        .borrow_mut()
+        .insert(topic, from.timeline);
+    let is_copy = before.is_some_and(|before| before != from.timeline);
+    let origin = if is_copy {
+        Origin::Copy
+    } else {
+        Origin::Newest
+    };
+    apply(gateway, topic, records, origin);
+    remove_missing(gateway, topic, &keys, origin);
     match topic {
         Topic::Operator => {}
         Topic::Servers => gateway.store.has_servers.set(true),
         Topic::Hosts => heartbeats::ensure_key(gateway),
     }
     gateway.store.loaded_topics.borrow_mut().insert(topic);
-    let before = gateway
-        .store
-        .timelines
-        .borrow_mut()
-        .insert(topic, from.timeline);
     gateway.log.write(&Event::Position {
         topic: topic_name(topic),
         position: from,
@@ -509,7 +516,7 @@
     let answer = match shared::fetch(gateway, topic, from).await {
         Shared::Records(tail) => {
             let records = tail.records.into_iter().map(|(_, record)| record);
-            apply(gateway, topic, records.collect(), false);
+            apply(gateway, topic, records.collect(), Origin::Log);
             return Ok(Position {
                 offset: tail.next,
                 ..from
@@ -526,7 +533,7 @@
     let tail = gateway.adapter.tail_records(from.offset, &answer.body)?;
     shared::record_read(gateway, topic, from, &tail);
     let records = tail.records.into_iter().map(|(_, record)| record);
-    apply(gateway, topic, records.collect(), false);
+    apply(gateway, topic, records.collect(), Origin::Log);
     Ok(Position {
         offset: tail.next,
         ..from
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -46,6 +46,7 @@
         leaving: false,
         cold_ms: 0,
         started_at: Some(1),
+        sequence: None,
     }
 }
 
--- a/tests/core/gateway/servers.rs
+++ b/tests/core/gateway/servers.rs
@@ -74,3 +74,65 @@
     table.set_drained(&"a".into(), false);
     assert_eq!(usable(&table), ["s", "t"]);
 }
+
+fn numbered(sequence: u64, leaving: bool) -> Option<Entry> {
+    Some(Entry {
+        leaving,
+        sequence: Some(sequence),
+        ..entry("s", "llm", "a")
+    })
+}
+
+/// An entry of before a server's leave, in a copy from which the registry returned.
+#[test]
+fn restore_leaving_server() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), numbered(7, true), false);
+    assert_eq!(table.restore(at(1), &"s".into(), numbered(6, false)), None);
+    assert_eq!(table.restore(at(2), &"s".into(), numbered(7, false)), None);
+    assert!(usable(&table).is_empty());
+    let restarted = numbered(1, false).map(|entry| Entry {
+        started_at: Some(2),
+        ..entry
+    });
+    let change = table.restore(at(3), &"s".into(), restarted);
+    assert!(matches!(change, Some(Change::Restarted(_))));
+    assert_eq!(usable(&table), ["s"]);
+}
+
+#[test]
+fn restore_server_that_left() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), numbered(7, false), false);
+    table.update(at(1), &"s".into(), None, false);
+    assert_eq!(
+        table.restore(at(9_000), &"s".into(), numbered(6, false)),
+        None
+    );
+    assert!(table.is_empty());
+    // A live server writes a newer entry.
+    table.update(at(9_100), &"s".into(), numbered(8, false), false);
+    assert_eq!(usable(&table), ["s"]);
+}
+
+/// The copy lacks a server that joined since, which registers again.
+#[test]
+fn restore_server_that_joined() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), numbered(1, false), false);
+    assert_eq!(table.restore(at(100), &"s".into(), None), None);
+    assert_eq!(usable(&table), ["s"]);
+    assert!(table.expire(at(2_099)).is_empty());
+    table.update(at(2_099), &"s".into(), numbered(2, false), false);
+    assert!(table.expire(at(9_000)).is_empty());
+    // One that doesn't is gone.
+    table.restore(at(9_000), &"s".into(), None);
+    assert_eq!(table.expire(at(11_000)), ["s".into()]);
+}
+
+#[test]
+fn restore_unknown_server() {
+    let mut table = Table::default();
+    let change = table.restore(at(0), &"s".into(), numbered(6, false));
+    assert!(matches!(change, Some(Change::Joined(_))));
+}
