Keep the drain of a data centre that a copy of the store lacks

What callers would see: requests go to the servers of a data centre whose drain was acknowledged, from the store's return from a copy until the operator writes the drain again.

Cause: what a full read lacks was taken for deleted. A copy lacks what was written after it.

Change: such a drain stays in force for 30 s, or until a record says otherwise.

--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -26,6 +26,10 @@
 /// away, and than the age of a copy from which it returns.
 const LEFT_RETENTION_MS: u64 = 60_000;
 
+/// Time for which a drain that a copy of the registry lacks stays in force, in milliseconds. Operators
+/// repeat what was lost, and an unused data centre does less harm than one that is used despite its drain.
+const LOST_DRAIN_MS: u64 = 30_000;
+
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -107,6 +111,8 @@
     drained: BTreeSet<Name>,
     // Servers that have left, with their last entries, and when.
     left: BTreeMap<Name, (Version, Instant)>,
+    // Drains that a copy of the registry lacks, and since when.
+    lost_drains: BTreeMap<Name, Instant>,
 }
 
 impl Table {
@@ -205,6 +211,7 @@
 
     /// Starts or ends the drain of a data centre. Returns whether that changes anything.
     pub fn set_drained(&mut self, data_centre: &Name, is_drained: bool) -> bool {
+        self.lost_drains.remove(data_centre);
         if is_drained {
             self.drained.insert(data_centre.clone())
         } else {
@@ -212,6 +219,24 @@
         }
     }
 
+    /// Records that a copy from which the registry has returned lacks the drain of a data centre.
+    pub fn lose_drain(&mut self, now: Instant, data_centre: &Name) {
+        self.lost_drains.insert(data_centre.clone(), now);
+    }
+
+    /// Ends and returns the lost drains that were not repeated in time.
+    pub fn expire_drains(&mut self, now: Instant) -> Vec<Name> {
+        let lost = self.lost_drains.iter();
+        let expired: Vec<Name> = lost
+            .filter(|&(_, at)| now.since_ms(*at) >= LOST_DRAIN_MS)
+            .map(|(data_centre, _)| data_centre.clone())
+            .collect();
+        for data_centre in &expired {
+            self.set_drained(data_centre, false);
+        }
+        expired
+    }
+
     /// Returns the drained data centres.
     pub fn drained(&self) -> &BTreeSet<Name> {
         &self.drained
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -283,6 +283,9 @@
             gateway.forget_server(id);
             gateway.log.write(&Event::Server { id, change: "gone" });
         }
+        for name in &gateway.servers.borrow_mut().expire_drains(now) {
+            gateway.log.write(&Event::DataCentre { name, out: false });
+        }
         gateway.pool.close_expired();
         quarantines::expire(&gateway);
         gateway.limits.borrow_mut().expire(clock::unix_ms());
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -95,8 +95,13 @@
                 keys.iter()
                     .any(|key| key.rsplit('/').next() == Some(name.as_str()))
             };
+            let now = gateway.now();
             for name in out.iter().filter(|name| !is_kept(name)) {
-                set_drained(gateway, name, false);
+                if origin == Origin::Copy {
+                    gateway.servers.borrow_mut().lose_drain(now, name);
+                } else {
+                    set_drained(gateway, name, false);
+                }
             }
             return;
         }
--- a/tests/core/gateway/servers.rs
+++ b/tests/core/gateway/servers.rs
@@ -136,3 +136,22 @@
     let change = table.restore(at(0), &"s".into(), numbered(6, false));
     assert!(matches!(change, Some(Change::Joined(_))));
 }
+
+/// Operators repeat a drain that a copy lacks. One that isn't repeated had ended.
+#[test]
+fn lose_drain_until_repeated() {
+    let mut table = Table::default();
+    table.update(at(0), &"s".into(), Some(entry("s", "llm", "a")), false);
+    table.update(at(0), &"t".into(), Some(entry("t", "llm", "b")), false);
+    for data_centre in ["a", "b"] {
+        table.set_drained(&data_centre.into(), true);
+        table.lose_drain(at(1_000), &data_centre.into());
+    }
+    assert!(table.expire_drains(at(9_000)).is_empty());
+    assert!(usable(&table).is_empty());
+    table.set_drained(&"a".into(), true);
+    assert_eq!(table.expire_drains(at(31_000)), ["b".into()]);
+    assert_eq!(usable(&table), ["t"]);
+    table.lose_drain(at(32_000), &"a".into());
+    assert!(table.set_drained(&"a".into(), false), "it ended");
+}
