Don't let heartbeats of a copy of the store bring back dead hosts

What callers would see: lookups name a host that had been killed, for 4.2 s after the store returned from a copy.

Cause: any heartbeat that differs from the known one counted as a new sign of life, also an older one in a copy.

Change: heartbeats of a copy are used only for hosts that aren't known, and don't make them live. Live hosts write their next heartbeat within 1.3 s.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -133,6 +133,15 @@
         is_change
     }
 
+    /// Records a heartbeat of a copy from which the store has returned. It must not make a host younger or
+    /// bring back a former incarnation, and live hosts write their next one within seconds.
+    pub fn restore(&mut self, now: Instant, heartbeat: Heartbeat) -> bool {
+        if self.hosts.contains_key(&heartbeat.host) {
+            return false;
+        }
+        self.record(now, heartbeat, true)
+    }
+
     /// Records that the store can't be read.
     pub fn store_failed(&mut self, now: Instant) {
         self.outage_since.get_or_insert(now);
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -117,7 +117,7 @@
         match topic {
             Topic::Operator => apply_directive(gateway, record),
             Topic::Servers => apply_server(gateway, record, origin),
-            Topic::Hosts => apply_host(gateway, record, origin != Origin::Log),
+            Topic::Hosts => apply_host(gateway, record, origin),
         }
     }
 }
@@ -211,7 +211,7 @@
     }
 }
 
-pub(super) fn apply_host(gateway: &Gateway, record: &Record, is_old: bool) {
+pub(super) fn apply_host(gateway: &Gateway, record: &Record, origin: Origin) {
     let Some(value) = &record.value else { return };
     let heartbeat: Heartbeat = match postcard::from_bytes(value) {
         Ok(heartbeat) => heartbeat,
@@ -223,13 +223,20 @@
         // A key that is already set is the same one.
         let _ = gateway.key.set(key.clone());
     }
-    if heartbeat.host != gateway.identity.host || is_old {
+    if heartbeat.host != gateway.identity.host || origin != Origin::Log {
         merge_observations(gateway, &heartbeat);
     }
     let name = heartbeat.host.clone();
     let serving = heartbeat.serving;
     let now = gateway.now();
-    if gateway.hosts.borrow_mut().record(now, heartbeat, is_old) {
+    let mut hosts = gateway.hosts.borrow_mut();
+    let is_change = match origin {
+        Origin::Log => hosts.record(now, heartbeat, false),
+        Origin::Newest => hosts.record(now, heartbeat, true),
+        Origin::Copy => hosts.restore(now, heartbeat),
+    };
+    drop(hosts);
+    if is_change {
         let name = &name;
         gateway.log.write(&Event::Host { name, serving });
     }
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -250,3 +250,19 @@
     all.dedup();
     assert!(all.len() >= 100, "{} of 110 hosts are named", all.len());
 }
+
+/// A heartbeat of a host that has died, in a copy from which the store returned.
+#[test]
+fn restore_heartbeat_of_dead_host() {
+    let mut table = Table::default();
+    table.record(at(0), heartbeat("dead", "r", 9), false);
+    let silent = HEARTBEAT_TIMEOUT_MS;
+    assert!(live(&table, silent).is_empty());
+    assert!(!table.restore(at(silent), heartbeat("dead", "r", 8)));
+    assert!(live(&table, silent + 1).is_empty());
+    // One that wasn't known may be alive or dead: only its next heartbeat tells.
+    table.restore(at(silent), heartbeat("other", "r", 3));
+    assert!(live(&table, silent + 1).is_empty());
+    table.record(at(silent + 100), heartbeat("other", "r", 4), false);
+    assert_eq!(live(&table, silent + 101), ["other"]);
+}
