Fetch a newer configuration from another host

What callers would see: a host that starts just after the store returned from a copy answers by an older configuration, until the operator has written the newest again.

Cause: a host that starts takes the store for the newest that there is.

Change: heartbeats state the version of the configuration. A host whose own is still older after 0.5 s fetches that of the host with the newest, by a sealed call. Hosts of a deployment have to be updated together, as heartbeats have a new field.

--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -69,6 +69,8 @@
     pub sequence: u64,
     /// Whether it accepts callers.
     pub serving: bool,
+    /// Version of its configuration.
+    pub config_version: Option<u64>,
     /// Key for the MAC of messages to it. `None` if another host passed the heartbeat on.
     pub key: Option<Key>,
     /// Capacity of its processor, in thousandths of a core.
@@ -184,6 +186,15 @@
             .filter(|host| !self.suspects.contains_key(&host.heartbeat.host))
     }
 
+    /// Returns the newest version of the configuration at a reachable host, and that host's address for
+    /// calls.
+    pub fn newest_config(&self, now: Instant) -> Option<(u64, SocketAddr)> {
+        let heartbeats = self.reachable(now).map(|host| &host.heartbeat);
+        heartbeats
+            .filter_map(|heartbeat| Some((heartbeat.config_version?, heartbeat.peer_address)))
+            .max()
+    }
+
     fn age_ms(&self, now: Instant, host: &Host) -> Option<u64> {
         let received_at = host.received_at?;
         let now = self.outage_since.unwrap_or(now);
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -87,7 +87,8 @@
         /// Reason.
         why: &'a str,
     },
-    /// Another host sent its state, while the store is unavailable at the start.
+    /// Another host sent its state, while the store is unavailable at the start, or its configuration, which
+    /// is newer than that in the store.
     Learned {
         /// The host.
         from: SocketAddr,
--- a/src/shell/gateway/peers/client.rs
+++ b/src/shell/gateway/peers/client.rs
@@ -26,6 +26,7 @@
 };
 use crate::{
     core::gateway::mac::Key,
+    edges::gateway::Record,
     names::Name,
     shell::gateway::{Gateway, upstream},
 };
@@ -140,6 +141,16 @@
     postcard::from_bytes(&body).map_err(malformed)
 }
 
+/// Returns the operators' record with the configuration of a host.
+pub(in crate::shell::gateway) async fn fetch_config(
+    gateway: &Gateway,
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> Result<Option<Record>, Error> {
+    let body = call(gateway, address, Path::Config, &(), timeout_ms).await?;
+    postcard::from_bytes(&body).map_err(malformed)
+}
+
 /// Returns a snapshot of a host's state. The call has no MAC, since this host has no keys yet.
 pub(super) async fn fetch_snapshot(
     gateway: &Gateway,
--- a/src/shell/gateway/peers/mod.rs
+++ b/src/shell/gateway/peers/mod.rs
@@ -22,6 +22,7 @@
 pub(super) use bootstrap::fetch_state;
 pub(super) use client::{
     Error,
+    fetch_config,
     fetch_recent,
     free,
     relay,
@@ -61,17 +62,19 @@
     Ping,
     Relay,
     Recent,
+    Config,
     Snapshot,
 }
 
 impl Path {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Pieces,
         Self::Free,
         Self::Progress,
         Self::Ping,
         Self::Relay,
         Self::Recent,
+        Self::Config,
         Self::Snapshot,
     ];
 
@@ -83,6 +86,7 @@
             Self::Ping => "/v1/ping",
             Self::Relay => "/v1/relay",
             Self::Recent => "/v1/recent",
+            Self::Config => "/v1/config",
             Self::Snapshot => "/v1/known",
         }
     }
--- a/src/shell/gateway/peers/server.rs
+++ b/src/shell/gateway/peers/server.rs
@@ -105,6 +105,10 @@
             let recent: Recent = postcard::from_bytes(body)?;
             postcard::to_allocvec(&store::recent(gateway, recent).await)
         }
+        Path::Config => {
+            let config = gateway.store.config.borrow().clone();
+            postcard::to_allocvec(&config)
+        }
         // Snapshots are sent without a MAC, before it would be checked.
         Path::Ping | Path::Snapshot => Ok(Vec::new()),
     }
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -51,6 +51,7 @@
 };
 
 mod apply;
+mod catch_up;
 mod heartbeats;
 mod shared;
 
@@ -134,6 +135,8 @@
     timeline: Cell<u64>,
     // Timeline of what this host knows of each topic.
     timelines: RefCell<BTreeMap<Topic, u64>>,
+    // Whether the configuration of another host is being fetched.
+    is_catching_up: Cell<bool>,
     incarnation: Cell<u64>,
     sequence: Cell<u64>,
     relay_turn: Cell<usize>,
@@ -367,6 +370,9 @@
             Ok(next) => {
                 failures = 0;
                 from = Some(next);
+                if topic == Topic::Hosts {
+                    catch_up::check(&gateway);
+                }
                 reads += 1;
                 let pause_ms = pause_ms(topic, reads, shared::is_reader(&gateway, topic));
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -25,6 +25,7 @@
         incarnation: 1,
         sequence,
         serving: true,
+        config_version: None,
         key: None,
         capacity: 250,
         report: Report::default(),
@@ -266,3 +267,22 @@
     table.record(at(silent + 100), heartbeat("other", "r", 4), false);
     assert_eq!(live(&table, silent + 101), ["other"]);
 }
+
+#[test]
+fn newest_config_of_reachable_hosts() {
+    let mut table = Table::default();
+    let with_version = |host: &str, version| Heartbeat {
+        config_version: version,
+        ..heartbeat(host, "r", 1)
+    };
+    table.record(at(0), with_version("a", Some(5)), false);
+    table.record(at(0), with_version("b", Some(7)), false);
+    table.record(at(0), with_version("c", None), false);
+    table.record(at(0), with_version("d", Some(9)), true);
+    let b = with_version("b", None).peer_address;
+    assert_eq!(table.newest_config(at(1)), Some((7, b)));
+    table.suspect(at(1), &"b".into(), true);
+    let a = with_version("a", None).peer_address;
+    assert_eq!(table.newest_config(at(1)), Some((5, a)));
+    assert_eq!(table.newest_config(at(HEARTBEAT_TIMEOUT_MS)), None);
+}
