Log the key of the content of requests

The logs couldn't tell whether the requests at the crashes of servers are the same: ids are new for each, and plain requests have no parts. The key is a hash of method, host, path, caller, prompt and body, logged with failed attempts and answers.

Nothing is decided by it yet.

--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -363,9 +363,18 @@
 
 /// Hashes texts. The result is the same on all hosts.
 pub fn hash(texts: &[&str]) -> u64 {
+    hash_all(texts.iter().map(|text| text.as_bytes()))
+}
+
+/// Hashes strings of bytes like [`hash`].
+pub fn hash_bytes(strings: &[&[u8]]) -> u64 {
+    hash_all(strings.iter().copied())
+}
+
+fn hash_all<'a>(strings: impl Iterator<Item = &'a [u8]>) -> u64 {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for text in texts {
-        hasher.update(text.as_bytes());
+    for bytes in strings {
+        hasher.update(bytes);
         hasher.update(&[0xff]);
     }
     hasher.digest()
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod cache;
 pub mod config;
+pub mod content;
 pub mod dispatch;
 pub mod hosts;
 pub mod limits;
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -40,6 +40,10 @@
             Organisation,
             Route, //
         },
+        content::{
+            self,
+            Content, //
+        },
         retry::{
             self,
             Action,
@@ -143,6 +147,7 @@
     organisation: Option<Arc<Organisation>>,
     service: Name,
     prompt: Vec<Segment>,
+    content: Content,
     arrived: Instant,
     deadline: Instant,
     may_have_run: Cell<bool>,
@@ -237,6 +242,17 @@
         Vec::new()
     };
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let content = Content::new(
+        &content::Request {
+            method: head.method.as_str(),
+            host: header_text(&head.headers, &header::HOST),
+            path,
+            caller: organisation.as_ref().map_or("", |it| &it.name),
+            prompt: header_text(&head.headers, &names.prompt),
+            body: &body,
+        },
+        &prompt,
+    );
     Ok(Exchange {
         gateway: gateway.clone(),
         config,
@@ -249,6 +265,7 @@
         organisation,
         service,
         prompt,
+        content,
         arrived,
         deadline,
         may_have_run: Cell::default(),
@@ -398,6 +415,7 @@
         gateway.metrics.first_byte_ms.record(first_ms, &[route]);
         gateway.log.write(&Event::Answered {
             request: &self.id,
+            content: self.content.whole(),
             route: &self.route.name,
             status: status.as_u16(),
             whole: is_whole,
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -94,6 +94,7 @@
                 .count_attempt(&self.service, &failure.reason);
             self.gateway.log.write(&Event::Failed {
                 request: &self.id,
+                content: self.content.whole(),
                 server: failure.server.as_ref().unwrap_or(&server),
                 end: &failure.reason,
                 next: if self.route.kind.is_repeatable() {
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -175,6 +175,7 @@
     lost.slot.release(true);
     exchange.gateway.log.write(&Event::Failed {
         request: &exchange.id,
+        content: exchange.content.whole(),
         server: &server,
         end: reason,
         next: "resume",
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -192,6 +192,8 @@
     Failed {
         /// The request.
         request: &'a str,
+        /// Key of its content, the same at each repetition.
+        content: cache::Key,
         /// The server.
         server: &'a Name,
         /// Outcome.
@@ -239,6 +241,8 @@
     Answered {
         /// Its id.
         request: &'a str,
+        /// Key of its content, the same at each repetition.
+        content: cache::Key,
         /// Its route.
         route: &'a Name,
         /// Status of the response.
@@ -413,13 +417,15 @@
                 "dispatcher" => dispatcher.map(Name::as_str)),
             Event::Failed {
                 request,
+                content,
                 server,
                 end,
                 next,
                 progress,
                 parts,
                 ms,
-            } => slog::info!(log, "attempt failed"; "request" => request, "server" => %server,
+            } => slog::info!(log, "attempt failed"; "request" => request,
+                "content" => part_key(*content), "server" => %server,
                 "end" => end, "next" => next, "progress" => progress.text(),
                 "parts" => part_ids(parts), "ms" => ms),
             Event::Limit {
@@ -448,6 +454,7 @@
                 "left_ms" => left_ms),
             Event::Answered {
                 request,
+                content,
                 route,
                 status,
                 whole,
@@ -455,7 +462,8 @@
                 stages_ms,
                 first_ms,
                 ms,
-            } => slog::info!(log, "answered"; "request" => request, "route" => %route,
+            } => slog::info!(log, "answered"; "request" => request,
+                "content" => part_key(*content), "route" => %route,
                 "status" => status, "whole" => whole, "attempts" => attempts,
                 "stages_ms" => stages_ms, "first_ms" => first_ms, "ms" => ms),
             Event::Stage {
