Suspect streams that have just begun of crashing their servers

What callers would see: a stream that crashes its server shortly after its first event is resumed at the next, which crashes too, and comes again at any host.

Cause: a stream was taken for harmless from its first event on.

Change: it is suspected for half a second longer. A server has few streams that young.

--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -150,10 +150,12 @@
             lease: Some(received.lease),
             slot,
             sent_unix_ms: received.sent_unix_ms,
+            begun_at: self.gateway.now(),
             framer: Framer::resume_after(resume),
         };
         match source.next().await {
             Chunk::Events(first) => {
+                source.begun_at = self.gateway.now();
                 source.slot.finish_prefill();
                 let ms = self.elapsed_ms().saturating_sub(self.stages_ms.get());
                 self.gateway
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -76,12 +76,7 @@
             });
         }
         self.tried.borrow_mut().push(server.clone());
-        let entry = self
-            .gateway
-            .servers
-            .borrow()
-            .get(&server)
-            .map(|server| server.entry.clone());
+        let entry = self.gateway.server_entry(&server);
         let sent_unix_ms = clock::unix_ms();
         let result = self.send(slot, entry.as_ref(), resume).await;
         if let Err(failure) = &result {
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -14,19 +14,22 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use crate::core::gateway::{
-    balance,
-    config::Kind,
-    retry::Outcome,
-    stream::Framer, //
-};
-use crate::shell::gateway::{
-    log::{
-        Event,
-        Progress, //
+use crate::{
+    core::gateway::{
+        balance,
+        config::Kind,
+        retry::Outcome,
+        stream::Framer, //
+    },
+    shell::gateway::{
+        log::{
+            Event,
+            Progress, //
+        },
+        quarantines,
+        upstream::Lease, //
     },
-    quarantines,
-    upstream::Lease, //
+    time::Instant,
 };
 
 use super::{
@@ -55,9 +58,15 @@
     pub(super) lease: Option<Lease>,
     pub(super) slot: Slot,
     pub(super) sent_unix_ms: u64,
+    /// When its first events arrived.
+    pub(super) begun_at: Instant,
     pub(super) framer: Framer,
 }
 
+/// Time after the first event for which a stream may be what crashes its server, in milliseconds. A server
+/// that runs it for longer survives it.
+const BEGINNING_MS: u64 = 500;
+
 /// The next item of a source.
 pub(super) enum Chunk {
     Events(Bytes),
@@ -170,6 +179,11 @@
 ) -> Option<(Source, Bytes)> {
     let last = lost.framer.last_id();
     let server = lost.slot.server();
+    let is_beginning = exchange.gateway.now().since_ms(lost.begun_at) < BEGINNING_MS;
+    if is_beginning && let Some(entry) = exchange.gateway.server_entry(&server) {
+        let sent_unix_ms = lost.sent_unix_ms;
+        quarantines::observe_loss(&exchange.gateway, entry, sent_unix_ms, &exchange.content);
+    }
     // Closes the connection, so that this server stops before another one continues.
     drop(lost.lease);
     lost.slot.release(true);
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -169,6 +169,12 @@
         self.stage_limiter.borrow_mut().forget(id);
     }
 
+    /// Returns the registration of a server.
+    fn server_entry(&self, id: &Name) -> Option<servers::Entry> {
+        let servers = self.servers.borrow();
+        servers.get(id).map(|server| server.entry.clone())
+    }
+
     fn region_of(&self, data_centre: &Name) -> Name {
         self.options.borrow().region_of(data_centre)
     }
