Take each full read soon after a return of the store for one of a copy

What callers would see: if the log is compacted just after the store returned from a copy, hosts read all again and use servers that had said that they leave.

Cause: only the first full read on a new timeline was taken for one of a copy. The store lacks what was lost until it is written again, also in the next full read.

Change: full reads within 10 s of the first one are taken for such. Tied suspects of the quarantine are collected in a plainer way, without a change of what it does.

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -462,20 +462,18 @@
         };
         // Of parts that always come together, the most specific one is in the fewest requests.
         suspects.sort_by_key(|it| Reverse((weight(it), it.parts.len(), it.part)));
-        let Some(first) = suspects.first() else {
-            return suspects;
+        let mut suspects = suspects.into_iter();
+        let Some(first) = suspects.next() else {
+            return Vec::new();
         };
-        let heaviest = weight(first);
-        let together = first.parts.clone();
-        let mut index = 0;
-        suspects.retain(|suspect| {
-            index += 1;
-            let is_other = suspect.is_whole && suspect.parts != together;
-            index == 1 || is_other && weight(suspect) == heaviest
-        });
-        let has_others = suspects.len() > 1;
+        let is_tied = |it: &Suspect| weight(it) == weight(&first);
+        let tied = suspects.filter(|it| it.is_whole && it.parts != first.parts && is_tied(it));
+        let tied: Vec<Suspect> = tied.collect();
+        let is_ambiguous = !tied.is_empty();
+        let mut suspects = vec![first];
+        suspects.extend(tied);
         for suspect in &mut suspects {
-            suspect.is_ambiguous |= has_others;
+            suspect.is_ambiguous |= is_ambiguous;
         }
         suspects
     }
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -13,7 +13,11 @@
     quarantines, //
 };
 use crate::{
-    core::gateway::{config::Config, hosts::Heartbeat, servers::Change},
+    core::gateway::{
+        config::Config,
+        hosts::Heartbeat,
+        servers::Change, //
+    },
     edges::gateway::{
         Directive,
         Record,
@@ -33,7 +37,7 @@
     Log,
     /// A read of the newest of each key: they are as new as what is known, or newer.
     Newest,
-    /// Such a read after the store returned from a copy: they may be older than what is known.
+    /// Such a read soon after the store returned from a copy: they may be older than what is known.
     Copy,
 }
 
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -100,6 +100,10 @@
 /// Pause between those reads, in milliseconds.
 const STARTUP_READ_INTERVAL_MS: u64 = 300;
 
+/// Time after the store returned from a copy for which a full read may still lack what was lost, in
+/// milliseconds.
+const COPY_MS: u64 = 10_000;
+
 /// Key of the store's connections in the pool.
 const POOL_KEY: &str = "store";
 
@@ -108,6 +112,14 @@
 
 const TOPICS: [Topic; 3] = [Topic::Operator, Topic::Servers, Topic::Hosts];
 
+/// Where the knowledge of a topic comes from.
+#[derive(Clone, Copy, Debug)]
+struct History {
+    timeline: u64,
+    // When the topic was first read after the store returned from a copy.
+    copied_at: Option<Instant>,
+}
+
 /// State of the calls to the store.
 #[derive(Default)]
 pub(super) struct State {
@@ -133,8 +145,8 @@
     tried_at: RefCell<BTreeMap<Topic, Instant>>,
     // Timeline of the newest answer. All topics belong to one store.
     timeline: Cell<u64>,
-    // Timeline of what this host knows of each topic.
-    timelines: RefCell<BTreeMap<Topic, u64>>,
+    // History of what this host knows of each topic.
+    histories: RefCell<BTreeMap<Topic, History>>,
     // Whether the configuration of another host is being fetched.
     is_catching_up: Cell<bool>,
     incarnation: Cell<u64>,
@@ -155,12 +167,40 @@
 
     /// Records the timeline of a snapshot for the topics that were not read yet.
     fn learn_timeline(&self, timeline: u64) {
-        let mut timelines = self.timelines.borrow_mut();
+        let history = History {
+            timeline,
+            copied_at: None,
+        };
+        let mut histories = self.histories.borrow_mut();
         for topic in TOPICS.into_iter().filter(|&topic| !self.has_read(topic)) {
-            timelines.insert(topic, timeline);
+            histories.insert(topic, history);
         }
     }
 
+    /// Records that a topic was read from the start on a timeline. Returns the timeline of what was known
+    /// before, and whether the store may lack some of that.
+    fn read_from_start(&self, now: Instant, topic: Topic, timeline: u64) -> (Option<u64>, Origin) {
+        let before = self.histories.borrow().get(&topic).copied();
+        let is_return = before.is_some_and(|before| before.timeline != timeline);
+        let copied_at = if is_return {
+            Some(now)
+        } else {
+            before.and_then(|before| before.copied_at)
+        };
+        let history = History {
+            timeline,
+            copied_at,
+        };
+        self.histories.borrow_mut().insert(topic, history);
+        let is_copy = copied_at.is_some_and(|at| now.since_ms(at) < COPY_MS);
+        let origin = if is_copy {
+            Origin::Copy
+        } else {
+            Origin::Newest
+        };
+        (before.map(|before| before.timeline), origin)
+    }
+
     /// Returns whether the last call for any topic failed.
     pub(super) fn is_failing(&self) -> bool {
         !self.failing_topics.borrow().is_empty()
@@ -485,17 +525,8 @@
     }
     let from = from.unwrap_or_default();
     let keys: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
-    let before = gateway
-        .store
-        .timelines
-        .borrow_mut()
-        .insert(topic, from.timeline);
-    let is_copy = before.is_some_and(|before| before != from.timeline);
-    let origin = if is_copy {
-        Origin::Copy
-    } else {
-        Origin::Newest
-    };
+    let now = gateway.now();
+    let (before, origin) = gateway.store.read_from_start(now, topic, from.timeline);
     apply(gateway, topic, records, origin);
     remove_missing(gateway, topic, &keys, origin);
     match topic {
