Refuse requests that may be sound for seconds instead of a minute

Cause: all three servers of a service crash within a second, and one request that was answered before is lost at each, since its second server is down already. Three crashes in a row without an answer in between make it suspected; that it was answered before only shortened the quarantine to a minute, counted from the last crash. The servers are back after a few seconds. Class: a penalty for weak evidence that is as long as one for strong evidence.

Evidence: logs of a failed run: the request is lost at 4.956, 5.290 and 5.624 s, `quarantine ... ambiguous: true`, and refused from then on with 60 s left, though it was answered three times at 4.7 s.

Change: such a request is refused for 10 s, about as long as its servers are away, and twice as long for each crash beyond the third. The bound for others is the caller's patience in find_request_in_outage_soon_accepted; it failed before (refused for 60 s).

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -49,8 +49,9 @@
 const MAX_CRASHES: usize = 64;
 
 /// Time after the last crash for which a request is refused if something else may explain the crashes, in
-/// milliseconds. After that one more crash, or an answer, tells.
-pub const AMBIGUOUS_MS: u64 = 60_000;
+/// milliseconds. After that one more crash, or an answer, tells. It doubles with each crash beyond
+/// [`MIN_CRASHES`].
+pub const AMBIGUOUS_MS: u64 = 10_000;
 
 /// Maximum number of keys that are kept for a crash, so that a report fits into a datagram.
 const MAX_CRASH_KEYS: usize = 48;
@@ -607,7 +608,11 @@
     fn until_unix_ms(&self) -> u64 {
         let kept = self.bursts[self.bursts.len() - MIN_CRASHES] + RETENTION_MS;
         match self.bursts.last() {
-            Some(last) if self.is_ambiguous => kept.min(last + AMBIGUOUS_MS),
+            Some(last) if self.is_ambiguous => {
+                let beyond = u32::try_from(self.bursts.len() - MIN_CRASHES).unwrap_or(u32::MAX);
+                let factor = 2_u64.saturating_pow(beyond);
+                kept.min(last.saturating_add(AMBIGUOUS_MS.saturating_mul(factor)))
+            }
             _ => kept,
         }
     }
--- a/tests/core/gateway/quarantine.rs
+++ b/tests/core/gateway/quarantine.rs
@@ -714,6 +714,48 @@
     assert!(table.find(unix(90_200), &sound).is_none());
 }
 
+/// All servers of a service crash within a second, and the same sound request is at each of them.
+#[test]
+fn find_request_in_outage_soon_accepted() {
+    /// Time after which a caller who waits for the servers may expect an answer again, in milliseconds.
+    const PATIENCE_MS: u64 = 15_000;
+    let mut table = Table::default();
+    let sound = repeated("sound");
+    table.record_answer(unix(500), unix(400), &sound);
+    let mut until = 0;
+    for round in 1..=4_u64 {
+        for (index, name) in (1..).zip(["s", "t", "u"]) {
+            lose(
+                &mut table,
+                until + index * 330,
+                &format!("{name}-{round}"),
+                &sound,
+            );
+        }
+        let last = until + 990;
+        until = last + PATIENCE_MS;
+        assert!(table.find(unix(last), &sound).is_some());
+        assert!(table.find(unix(until), &sound).is_none(), "round {round}");
+        table.record_answer(unix(until + 40), unix(until), &sound);
+    }
+}
+
+/// One that goes on crashing servers reaches one less and less often.
+#[test]
+fn find_request_answered_before_crashes_on() {
+    let mut table = Table::default();
+    let turned = repeated("turned bad");
+    table.record_answer(unix(500), unix(400), &turned);
+    let mut crashes = 0;
+    for ms in (1_000..601_000).step_by(500) {
+        if table.find(unix(ms), &turned).is_none() {
+            crashes += 1;
+            lose(&mut table, ms, &format!("s-{crashes}"), &turned);
+        }
+    }
+    assert!(crashes <= 9, "{crashes} crashes in ten minutes");
+}
+
 /// A prompt that is repeated as it is says nothing about others with the same parts.
 #[test]
 fn find_repeated_prompt() {
