Bound what hosts report of crashes, so that all can start together

Each host that lost one request in a crash repeated all that others had lost in it, and the answers to all of these. All hosts read all heartbeats when they start; the reads took longer than their timeout, were given up and repeated, and took the store's throughput from the configuration. Class: state that is shared by all with all, without a bound on its sum.

Evidence: logs of 78 hosts: after the start, reads of all three topics end with `no answer within 900 ms` and later 2700 ms; the last hosts have a configuration 16 s after their start, and 5,285 of the refusals until then are `no configuration yet`.

Change: a report has a budget of keys, and holds what this host lost itself, first what occurs in most crashes. Clearances are reported where a verdict may depend on them. The hosts that repeat all that is known have a budget too.

report_bounded_at_hundreds_of_hosts: 960,611 bytes before, of at most 122,033 (all hosts read them within the timeout of a call, and half of that is left for the rest); passes.

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -56,8 +56,14 @@
 /// Maximum number of keys that are kept for a crash, so that a report fits into a datagram.
 const MAX_CRASH_KEYS: usize = 48;
 
-/// Maximum number of clearances in a report.
-const MAX_CLEARANCES: usize = 64;
+/// Maximum numbers of keys and of clearances in a report of a host's own observations.
+///
+/// All hosts read the reports of all hosts when they start together. In hundreds of hosts, the store's share
+/// for each of them is small.
+const MAX_OWN: (usize, usize) = (16, 8);
+
+/// The same for a report of all that is known, which few hosts make.
+const MAX_ALL: (usize, usize) = (512, 64);
 
 /// A start of a server. One that restarts under the same id counts as another server.
 pub type Incarnation = (Name, Option<u64>);
@@ -136,7 +142,14 @@
 #[derive(Debug)]
 struct Observation {
     at_unix_ms: u64,
-    requests: Vec<Lost>,
+    losses: Vec<Loss>,
+    is_own: bool,
+}
+
+/// A request that was lost in a crash, and whether this host lost it.
+#[derive(Debug)]
+struct Loss {
+    request: Lost,
     is_own: bool,
 }
 
@@ -255,40 +268,64 @@
         }
     }
 
-    /// Returns what this host reports to others.
+    /// Returns what this host reports to others. What occurs in most crashes comes first, since it is
+    /// nearest to a verdict; the rest is left out where it is too much.
     pub fn report(&self, unix_ms: u64, scope: Scope) -> Report {
+        let (mut keys_left, max_clearances) = match scope {
+            Scope::Own => MAX_OWN,
+            Scope::All => MAX_ALL,
+        };
         let is_included = |is_own: bool, at_unix_ms: u64| {
             scope == Scope::All || is_own && unix_ms.saturating_sub(at_unix_ms) < REPORT_MS
         };
-        let crashes = self
-            .crashes
-            .iter()
-            .filter(|(_, crash)| is_included(crash.is_own, crash.at_unix_ms));
-        let cleared = self
-            .cleared
-            .iter()
-            .filter(|(_, cleared)| is_included(cleared.is_own, cleared.at_unix_ms));
-        let crash = |(server, crash): (&Incarnation, &Observation)| Crash {
-            server: server.clone(),
-            at_unix_ms: crash.at_unix_ms,
-            requests: crash.requests.clone(),
-        };
+        let counts = key_counts(self.crashes.values());
+        let count = |key: &Key| counts.get(key).copied().unwrap_or(0);
+        let mut losses: Vec<(usize, u64, &Incarnation, &Lost)> = Vec::new();
+        for (server, crash) in &self.crashes {
+            let included = crash.losses.iter();
+            let included = included.filter(|loss| is_included(loss.is_own, crash.at_unix_ms));
+            for Loss { request, .. } in included {
+                let count = request.keys.iter().map(count).max().unwrap_or(0);
+                losses.push((count, crash.at_unix_ms, server, request));
+            }
+        }
+        losses.sort_by_key(|&(count, at_unix_ms, ..)| Reverse((count, at_unix_ms)));
+        let mut crashes: BTreeMap<&Incarnation, Crash> = BTreeMap::new();
+        for (_, at_unix_ms, server, request) in losses {
+            let Some(left) = keys_left.checked_sub(request.keys.len()) else {
+                break;
+            };
+            keys_left = left;
+            let crash = crashes.entry(server).or_insert_with(|| Crash {
+                server: server.clone(),
+                at_unix_ms,
+                requests: Vec::new(),
+            });
+            crash.requests.push(request.clone());
+        }
+        // One more crash may be enough for a verdict on these.
+        let cleared = self.cleared.iter().filter(|(key, cleared)| {
+            is_included(cleared.is_own, cleared.at_unix_ms) && count(key) + 1 >= MIN_CRASHES
+        });
         let clearance = |(&part, cleared): (&Key, &Cleared)| Clearance {
             part,
             at_unix_ms: cleared.at_unix_ms,
         };
         Report {
-            crashes: crashes.map(crash).collect(),
-            clearances: cleared.map(clearance).take(MAX_CLEARANCES).collect(),
+            crashes: crashes.into_values().collect(),
+            clearances: cleared.map(clearance).take(max_clearances).collect(),
         }
     }
 
-    /// Returns the report of one crash.
+    /// Returns the report of one crash: the requests that this host lost in it.
     pub fn crash_report(&self, server: &Incarnation) -> Report {
         let crash = self.crashes.get(server).map(|crash| Crash {
             server: server.clone(),
             at_unix_ms: crash.at_unix_ms,
-            requests: crash.requests.clone(),
+            requests: {
+                let own = crash.losses.iter().filter(|loss| loss.is_own);
+                own.map(|loss| loss.request.clone()).collect()
+            },
         });
         Report {
             crashes: crash.into_iter().collect(),
@@ -359,7 +396,7 @@
         }
         let crash = self.crashes.entry(server).or_insert(Observation {
             at_unix_ms,
-            requests: Vec::new(),
+            losses: Vec::new(),
             is_own,
         });
         crash.at_unix_ms = crash.at_unix_ms.min(at_unix_ms);
@@ -367,7 +404,7 @@
         for mut request in requests {
             let whole = request.keys.first();
             request.was_answered |= whole.is_some_and(|key| self.answered.keys.contains(key));
-            is_new |= crash.add(request);
+            is_new |= crash.add(request, is_own);
         }
         is_new
     }
@@ -453,9 +490,10 @@
     /// A request that is repeated at once can be lost in several crashes that another one caused. Refusing
     /// both for a while affects only their repetitions.
     fn prime_suspects(&self, crashes: &[&Observation]) -> Vec<Suspect> {
-        let suspects = frequent_keys(crashes).into_iter();
-        let mut suspects: Vec<Suspect> = suspects
-            .filter_map(|part| Suspect::new(part, crashes, &self.cleared))
+        let counts = key_counts(crashes.iter().copied()).into_iter();
+        let frequent = counts.filter(|&(_, count)| count >= MIN_CRASHES);
+        let mut suspects: Vec<Suspect> = frequent
+            .filter_map(|(part, _)| Suspect::new(part, crashes, &self.cleared))
             .collect();
         let weight = |suspect: &Suspect| {
             let is_cleared = self.cleared.contains_key(&suspect.part);
@@ -480,8 +518,8 @@
     }
 }
 
-/// Returns the keys that occur in enough of the crashes.
-fn frequent_keys(crashes: &[&Observation]) -> Vec<Key> {
+/// Returns the number of crashes in which each key occurs.
+fn key_counts<'a>(crashes: impl Iterator<Item = &'a Observation>) -> BTreeMap<Key, usize> {
     let mut counts: BTreeMap<Key, usize> = BTreeMap::new();
     for crash in crashes {
         let keys: BTreeSet<Key> = crash.keys().collect();
@@ -489,17 +527,14 @@
             *counts.entry(key).or_default() += 1;
         }
     }
-    let frequent = counts
-        .into_iter()
-        .filter(|&(_, count)| count >= MIN_CRASHES);
-    frequent.map(|(key, _)| key).collect()
+    counts
 }
 
 impl Observation {
     fn keys(&self) -> impl Iterator<Item = Key> + '_ {
-        self.requests
+        self.losses
             .iter()
-            .flat_map(|request| request.keys.iter().copied())
+            .flat_map(|loss| loss.request.keys.iter().copied())
     }
 
     fn has(&self, part: Key) -> bool {
@@ -508,16 +543,19 @@
 
     /// Returns the lost requests with a key.
     fn with(&self, part: Key) -> impl Iterator<Item = &Lost> {
-        self.requests
+        self.losses
             .iter()
+            .map(|loss| &loss.request)
             .filter(move |request| request.keys.contains(&part))
     }
 
     /// Adds a lost request. Returns whether it says anything new.
-    fn add(&mut self, mut request: Lost) -> bool {
+    fn add(&mut self, mut request: Lost, is_own: bool) -> bool {
         request.keys.truncate(MAX_KEYS);
-        let mut requests = self.requests.iter_mut();
-        if let Some(known) = requests.find(|known| known.keys == request.keys) {
+        let mut losses = self.losses.iter_mut();
+        if let Some(loss) = losses.find(|loss| loss.request.keys == request.keys) {
+            loss.is_own |= is_own;
+            let known = &mut loss.request;
             let is_repeat = known.is_repeat || request.is_repeat;
             let was_answered = known.was_answered || request.was_answered;
             let is_new = (is_repeat, was_answered) != (known.is_repeat, known.was_answered);
@@ -526,7 +564,7 @@
         }
         let has_room = self.keys().count() + request.keys.len() <= MAX_CRASH_KEYS;
         if has_room {
-            self.requests.push(request);
+            self.losses.push(Loss { request, is_own });
         }
         has_room
     }
@@ -536,7 +574,7 @@
             let mut parts = suspect.parts.iter();
             parts.all(|part| request.keys.contains(part))
         };
-        self.requests.iter().any(has_all)
+        self.losses.iter().any(|loss| has_all(&loss.request))
     }
 }
 
--- a/tests/core/gateway/quarantine.rs
+++ b/tests/core/gateway/quarantine.rs
@@ -784,3 +784,55 @@
     let bytes = postcard::to_allocvec(&report).expect("it can be encoded");
     assert!(bytes.len() <= 1_200, "{} bytes", bytes.len());
 }
+
+/// All hosts lose power after servers crashed under many requests. When they start again they all read the
+/// reports of all hosts, for which the store has to suffice.
+#[test]
+fn report_bounded_at_hundreds_of_hosts() {
+    const HOSTS: usize = 295;
+    const CRASHES: u64 = 20;
+    /// Requests that wait at a server which crashes.
+    const WAITING: u64 = 100;
+    /// Rate at which the store answers reads, in bytes per second.
+    const EGRESS_PER_S: usize = 80_000_000;
+    /// Time in which all have read, in milliseconds: the timeout of one call. The reports may be half of it.
+    const TIMEOUT_MS: usize = 900;
+    let mut random = Random(1);
+    let mut fleet: Vec<Table> = (0..HOSTS).map(|_| Table::default()).collect();
+    for crash in 0..CRASHES {
+        let (ms, name) = (1_000 + crash * 700, format!("i-{crash:010}"));
+        let mut lost = Vec::new();
+        for _ in 0..WAITING {
+            let host = random.below(HOSTS as u64) as usize;
+            let content = prompt(&["hot", ["a", "b", "c"][random.below(3) as usize]]);
+            lose(&mut fleet[host], ms, &name, &content);
+            lost.push((host, content));
+        }
+        let mut all = Report::default();
+        for table in &fleet {
+            all.crashes
+                .extend(table.crash_report(&server(&name)).crashes);
+        }
+        for table in &mut fleet {
+            table.merge(unix(ms), all.clone());
+        }
+        for (host, content) in lost {
+            fleet[host].record_answer(unix(ms + 500), unix(ms + 10), &content);
+        }
+    }
+    let now = unix(1_000 + CRASHES * 700);
+    let bytes = fleet.iter().enumerate().map(|(index, table)| {
+        let scope = if index < RELAYS {
+            Scope::All
+        } else {
+            Scope::Own
+        };
+        let report = table.report(now, scope);
+        postcard::to_allocvec(&report)
+            .expect("it can be encoded")
+            .len()
+    });
+    let bytes: usize = bytes.sum();
+    let bound = EGRESS_PER_S / 1_000 * TIMEOUT_MS / HOSTS / 2;
+    assert!(bytes <= bound, "{bytes} bytes of at most {bound}");
+}
