Count crashes under repetitions that other hosts sent

What callers saw: nothing yet; found by reading, and shown by a test. A request that crashes servers and is repeated through other hosts within 250 ms ends all servers of a small service, and the three crashes counted as one. Each further round of crashes counts as one more, so it takes three rounds, some seconds apart, until the request is quarantined.

Cause: crashes within 250 ms count once, unless the same host had lost the request before it sent it again. A repetition at another host has no such mark. Class: evidence that only its own host can recognise.

Change: each report says when a request was sent. What was sent after the first of such crashes is no victim of a common cause of these, whoever sent it.

find_request_repeated_at_other_hosts failed before (not quarantined after three crashes at three hosts); passes. Servers that crash together under requests that were sent before still count once (find_request_at_servers_that_crash_together).

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -35,7 +35,7 @@
 const MAX_ANSWERED: usize = 2_048;
 
 /// Time within which crashes count once, in milliseconds. Servers that crash together have a common
-/// cause outside of the requests, unless a request was repeated in between.
+/// cause outside of the requests, unless the request was sent after the first of them.
 const BURST_MS: u64 = 250;
 
 /// Retention time of crashes, in milliseconds. A quarantine ends when too few are left. Then one more
@@ -60,7 +60,7 @@
 ///
 /// All hosts read the reports of all hosts when they start together. In hundreds of hosts, the store's share
 /// for each of them is small.
-const MAX_OWN: (usize, usize) = (16, 8);
+const MAX_OWN: (usize, usize) = (12, 8);
 
 /// The same for a report of all that is known, which few hosts make.
 const MAX_ALL: (usize, usize) = (512, 64);
@@ -87,8 +87,8 @@
 pub struct Lost {
     /// Keys of its content, that of the request as a whole first.
     pub keys: Vec<Key>,
-    /// Whether it was sent after its host had lost the same request in the crash of another server.
-    pub is_repeat: bool,
+    /// When it was sent.
+    pub sent_unix_ms: u64,
     /// Whether a host had a complete answer to the same request before.
     pub was_answered: bool,
 }
@@ -206,7 +206,7 @@
     ) -> Vec<Change> {
         let request = Lost {
             keys: content.keys().to_vec(),
-            is_repeat: self.is_repeat(sent_unix_ms, &server, content),
+            sent_unix_ms,
             was_answered: false,
         };
         let crash = Crash {
@@ -414,15 +414,6 @@
         self.crashes.values().any(|crash| crash.has(whole))
     }
 
-    /// Returns whether this host lost a request before it sent it to a server.
-    fn is_repeat(&self, sent_unix_ms: u64, server: &Incarnation, content: &Content) -> bool {
-        let mut crashes = self.crashes.iter();
-        crashes.any(|(other, crash)| {
-            let is_earlier = crash.is_own && crash.at_unix_ms <= sent_unix_ms;
-            other != server && is_earlier && crash.has(content.whole())
-        })
-    }
-
     /// Returns whether the clearance may change the quarantines: that of a part which wasn't cleared
     /// yet since it is suspected, or which is quarantined.
     fn add_clearance(&mut self, clearance: Clearance, is_own: bool) -> bool {
@@ -556,10 +547,10 @@
         if let Some(loss) = losses.find(|loss| loss.request.keys == request.keys) {
             loss.is_own |= is_own;
             let known = &mut loss.request;
-            let is_repeat = known.is_repeat || request.is_repeat;
+            let sent_unix_ms = known.sent_unix_ms.max(request.sent_unix_ms);
             let was_answered = known.was_answered || request.was_answered;
-            let is_new = (is_repeat, was_answered) != (known.is_repeat, known.was_answered);
-            (known.is_repeat, known.was_answered) = (is_repeat, was_answered);
+            let is_new = (sent_unix_ms, was_answered) != (known.sent_unix_ms, known.was_answered);
+            (known.sent_unix_ms, known.was_answered) = (sent_unix_ms, was_answered);
             return is_new;
         }
         let has_room = self.keys().count() + request.keys.len() <= MAX_CRASH_KEYS;
@@ -591,7 +582,7 @@
     parts: BTreeSet<Key>,
     /// Number of crashes.
     crashes: usize,
-    /// Times of the crashes in Unix milliseconds, one of those that happened together.
+    /// Times of the crashes in Unix milliseconds, one of those that may have a common cause.
     bursts: Vec<u64>,
 }
 
@@ -602,6 +593,7 @@
         let cleared_at = cleared.get(&part).map(|cleared| cleared.at_unix_ms);
         let mut count = 0;
         let mut bursts: Vec<u64> = Vec::new();
+        let mut burst_start: Option<u64> = None;
         let mut parts: Option<BTreeSet<Key>> = None;
         let mut is_whole = true;
         let mut was_answered = false;
@@ -611,8 +603,15 @@
                 continue;
             }
             count += 1;
-            let is_repeat = crash.with(part).any(|request| request.is_repeat);
-            if is_repeat || bursts.last().is_none_or(|&last| at >= last + BURST_MS) {
+            // What was sent after a crash is no victim of the same cause outside of the requests.
+            let is_later = |since: u64| {
+                let mut requests = crash.with(part);
+                requests.any(|it| it.keys.first() == Some(&part) && it.sent_unix_ms >= since)
+            };
+            if burst_start.is_none_or(|start| at >= start + BURST_MS) {
+                burst_start = Some(at);
+                bursts.push(at);
+            } else if burst_start.is_some_and(is_later) {
                 bursts.push(at);
             }
             for request in crash.with(part) {
--- a/tests/core/gateway/quarantine.rs
+++ b/tests/core/gateway/quarantine.rs
@@ -634,6 +634,25 @@
     }
 }
 
+/// Repetitions at other hosts crash the next servers as fast.
+#[test]
+fn find_request_repeated_at_other_hosts() {
+    let mut fleet: [Table; 3] = Default::default();
+    let bad = repeated(BAD);
+    for (index, name) in (0..).zip(["s", "t", "u"]) {
+        let ms = 1_000 + index as u64 * 80;
+        let now = unix(ms);
+        fleet[index].record_crash(now, unix(ms - 60), server(name), &bad);
+        let report = fleet[index].crash_report(&server(name));
+        for host in &mut fleet {
+            host.merge(now, report.clone());
+        }
+    }
+    for table in &fleet {
+        assert!(table.find(unix(1_200), &bad).is_some());
+    }
+}
+
 /// Servers that crash together have a cause of their own, also under repetitions of one request that
 /// were sent before.
 #[test]
