Keep answers that are known before the crash that they clear

What callers saw: sound requests, and prompts with a part that all share, are refused for up to seconds where reports of crashes arrive late: from a host that was cut off or paused, or read from the store at a start.

Cause: an answer to a request with a suspected key clears it, but only if the crash was known already. It was dropped if the crash became known later, also where the two reports came in the wrong order. Besides, a host told others only of the first answer since a request was suspected, so that they quarantined it at a later crash, and the time of a loss was taken after the request had been sent again, so that a fast answer preceded it. Class: order of arrival taken for order of events.

Change: hosts keep when keys were last answered, by whom, and apply that to crashes which they learn of later; a report of a crash brings along what is known to clear it; each answer that clears a whole request after one more crash is announced; what is cleared entirely is left out of reports.

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -31,8 +31,8 @@
 /// Number of crashes, each at another time, for which a part is quarantined.
 pub const MIN_CRASHES: usize = 3;
 
-/// Number of requests of which a host remembers that they were answered.
-const MAX_ANSWERED: usize = 2_048;
+/// Number of keys of which a host remembers when they were answered.
+const MAX_ANSWERED: usize = 4_096;
 
 /// Time within which crashes count once, in milliseconds. Servers that crash together have a common
 /// cause outside of the requests, unless the request was sent after the first of them.
@@ -173,23 +173,29 @@
     answered: Answered,
 }
 
-/// Requests that were answered completely, the most recent ones.
+/// Keys of requests that were answered completely, the most recent ones.
+///
+/// A crash may become known after the answer that clears a key of it.
 #[derive(Debug, Default)]
 struct Answered {
-    keys: BTreeSet<Key>,
+    newest: BTreeMap<Key, Cleared>,
     order: VecDeque<Key>,
 }
 
 impl Answered {
-    fn insert(&mut self, key: Key) {
-        if !self.keys.insert(key) {
+    fn insert(&mut self, key: Key, answer: Cleared) {
+        if let Some(known) = self.newest.get_mut(&key) {
+            if answer.at_unix_ms > known.at_unix_ms {
+                *known = answer;
+            }
             return;
         }
+        self.newest.insert(key, answer);
         self.order.push_back(key);
         if self.order.len() > MAX_ANSWERED
             && let Some(oldest) = self.order.pop_front()
         {
-            self.keys.remove(&oldest);
+            self.newest.remove(&oldest);
         }
     }
 }
@@ -226,11 +232,13 @@
         sent_unix_ms: u64,
         content: &Content,
     ) -> (bool, Vec<Change>) {
-        if self.crashes.is_empty() {
-            self.answered.insert(content.whole());
-            return (false, Vec::new());
-        }
-        let mut is_new = false;
+        // Other hosts may have quarantined the request, so they are told after each crash. Shared parts are
+        // answered all the time.
+        let crashes = self.crashes.values();
+        let mut lost = crashes.filter(|crash| crash.has(content.whole()));
+        let mut is_new = lost.any(|crash| {
+            crash.at_unix_ms <= sent_unix_ms && !self.is_cleared(content.whole(), crash.at_unix_ms)
+        });
         for &part in content.keys() {
             let clearance = Clearance {
                 part,
@@ -238,9 +246,6 @@
             };
             is_new |= self.add_clearance(clearance, true);
         }
-        if !self.is_lost(content.whole()) {
-            self.answered.insert(content.whole());
-        }
         let changes = if is_new {
             self.evaluate(unix_ms)
         } else {
@@ -283,7 +288,11 @@
         let mut losses: Vec<(usize, u64, &Incarnation, &Lost)> = Vec::new();
         for (server, crash) in &self.crashes {
             let included = crash.losses.iter();
-            let included = included.filter(|loss| is_included(loss.is_own, crash.at_unix_ms));
+            let included = included.filter(|loss| {
+                let mut keys = loss.request.keys.iter();
+                is_included(loss.is_own, crash.at_unix_ms)
+                    && !keys.all(|&key| self.is_cleared(key, crash.at_unix_ms))
+            });
             for Loss { request, .. } in included {
                 let count = request.keys.iter().map(count).max().unwrap_or(0);
                 losses.push((count, crash.at_unix_ms, server, request));
@@ -401,23 +410,37 @@
         });
         crash.at_unix_ms = crash.at_unix_ms.min(at_unix_ms);
         crash.is_own |= is_own;
+        let mut answers = Vec::new();
+        let answered = &self.answered.newest;
         for mut request in requests {
-            let whole = request.keys.first();
-            request.was_answered |= whole.is_some_and(|key| self.answered.keys.contains(key));
-            is_new |= crash.add(request, is_own);
+            let whole = request.keys.first().and_then(|key| answered.get(key));
+            request.was_answered |= whole.is_some_and(|it| it.at_unix_ms < crash.at_unix_ms);
+            let keys = request.keys.clone();
+            // Most reports repeat what is known.
+            if crash.add(request, is_own) {
+                is_new = true;
+                let known = keys.into_iter().take(MAX_KEYS);
+                let known = known.filter_map(|key| Some((key, *answered.get(&key)?)));
+                answers.extend(known.filter(|(_, answer)| answer.at_unix_ms >= crash.at_unix_ms));
+            }
+        }
+        for (part, Cleared { at_unix_ms, is_own }) in answers {
+            is_new |= self.add_clearance(Clearance { part, at_unix_ms }, is_own);
         }
         is_new
     }
 
-    /// Returns whether a request was lost in a crash.
-    fn is_lost(&self, whole: Key) -> bool {
-        self.crashes.values().any(|crash| crash.has(whole))
+    /// Returns whether a key was cleared since a crash.
+    fn is_cleared(&self, key: Key, crashed_unix_ms: u64) -> bool {
+        let cleared = self.cleared.get(&key);
+        cleared.is_some_and(|cleared| cleared.at_unix_ms >= crashed_unix_ms)
     }
 
     /// Returns whether the clearance may change the quarantines: that of a part which wasn't cleared
     /// yet since it is suspected, or which is quarantined.
     fn add_clearance(&mut self, clearance: Clearance, is_own: bool) -> bool {
         let Clearance { part, at_unix_ms } = clearance;
+        self.answered.insert(part, Cleared { at_unix_ms, is_own });
         let mut before = self
             .crashes
             .values()
--- a/src/shell/gateway/quarantines.rs
+++ b/src/shell/gateway/quarantines.rs
@@ -43,8 +43,9 @@
 ) {
     let gateway = gateway.clone();
     let content = content.clone();
+    // Before the request is sent again: an answer to that clears it.
+    let lost_at = clock::unix_ms();
     tokio::task::spawn_local(async move {
-        let lost_at = clock::unix_ms();
         let probe = net::connect(server.address, PROBE_MS).await;
         let is_refused =
             |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
@@ -59,7 +60,8 @@
         let incarnation = (server.id, server.started_at);
         let mut table = gateway.quarantine.borrow_mut();
         let changes = table.record_crash(lost_at, sent_unix_ms, incarnation.clone(), &content);
-        let report = table.crash_report(&incarnation);
+        let mut report = table.crash_report(&incarnation);
+        report.clearances = table.clearance_report(&content).clearances;
         drop(table);
         log_changes(&gateway, &changes);
         datagrams::send_report(&gateway, report);
