Refuse a request that waits for a server as soon as it is quarantined

What callers saw: a request that waits because all servers are full, and is known by then to crash them, is refused when its deadline is near.

Cause: the quarantine was checked before a request waits and when it gets a slot, not in between.

--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -8,6 +8,7 @@
 use super::{
     EXPECTED_RUN_MS,
     Exchange,
+    QUARANTINED,
     send::Error, //
 };
 use crate::{
@@ -37,6 +38,7 @@
             Event,
             Progress, //
         },
+        quarantines,
         upstream, //
     },
 };
@@ -131,6 +133,9 @@
     /// Waits until a server can take the request, and takes a slot there.
     pub(super) async fn assign(&self) -> Result<Slot, Error> {
         loop {
+            if quarantines::find(&self.gateway, &self.content).is_some() {
+                return Err(self.quarantined());
+            }
             let assigned = if self.uses_dispatchers() {
                 self.ask_dispatchers().await
             } else {
@@ -160,6 +165,17 @@
         }
     }
 
+    /// Returns the failure of an attempt at a request that was quarantined while it waited for a server.
+    pub(super) fn quarantined(&self) -> Error {
+        self.is_exhausted.set(true);
+        Error {
+            outcome: Outcome::NotSent,
+            reason: QUARANTINED.to_string(),
+            server: None,
+            progress: Progress::None,
+        }
+    }
+
     /// Returns whether dispatchers assign the request: where there are many hosts, those of prompts.
     fn uses_dispatchers(&self) -> bool {
         !self.prompt.is_empty() && self.gateway.overview().has_dispatchers
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 
 use super::{
-    Exchange, QUARANTINED,
+    Exchange,
     assign::Slot,
     receive::Received,
     reply::{
@@ -66,14 +66,8 @@
         let slot = self.assign().await?;
         let server = slot.server();
         if quarantines::find(&self.gateway, &self.content).is_some() {
-            // It was quarantined while the request waited. No server may get it.
-            self.is_exhausted.set(true);
-            return Err(Error {
-                outcome: Outcome::NotSent,
-                reason: QUARANTINED.to_string(),
-                server: None,
-                progress: Progress::None,
-            });
+            // No server may get it, and the slot is released.
+            return Err(self.quarantined());
         }
         self.tried.borrow_mut().push(server.clone());
         let entry = self.gateway.server_entry(&server);
