Find a request that crashes servers by its body, also with another prompt

What callers saw: nothing yet; found by reading the rule again. A repetition has the same path, caller and body. Its prompt may list other parts, such as those of another session, and the key of the request as a whole holds the prompt.

Change: a request with a prompt has a further key, without that. It is evidence like that of a shared part: requests that share it and are answered clear it.

find_request_repeated_in_other_sessions failed before (not refused after three crashes), passes.

--- a/src/core/gateway/content.rs
+++ b/src/core/gateway/content.rs
@@ -31,23 +31,29 @@
     pub body: &'a [u8],
 }
 
-/// Keys of a request: one for the request as a whole, and those of the shared parts of its prompt.
+/// Keys of a request: one for the request as a whole, one for it without its prompt, and those of the
+/// shared parts of its prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Content(Vec<Key>);
 
 impl Content {
     /// Computes the keys of a request with a prompt.
     pub fn new(request: &Request<'_>, prompt: &[Segment]) -> Self {
-        let whole = super::balance::hash_bytes(&[
-            request.method.as_bytes(),
-            request.host.as_bytes(),
-            request.path.as_bytes(),
-            request.caller.as_bytes(),
-            request.prompt.as_bytes(),
-            request.body,
-        ]);
+        let key = |prompt: &str| {
+            super::balance::hash_bytes(&[
+                request.method.as_bytes(),
+                request.host.as_bytes(),
+                request.path.as_bytes(),
+                request.caller.as_bytes(),
+                prompt.as_bytes(),
+                request.body,
+            ])
+        };
+        // A repetition in a later turn of a conversation lists more parts.
+        let promptless = (!request.prompt.is_empty()).then(|| key(""));
         let parts = shared_segments(prompt).iter().map(cache::key);
-        Self(std::iter::once(whole).chain(parts).take(MAX_KEYS).collect())
+        let keys = std::iter::once(key(request.prompt));
+        Self(keys.chain(promptless).chain(parts).take(MAX_KEYS).collect())
     }
 
     /// Returns the key of the request as a whole.
--- a/tests/core/gateway/quarantine.rs
+++ b/tests/core/gateway/quarantine.rs
@@ -833,6 +833,33 @@
     assert!(is_quarantined(&table, 4_000, &["c", BAD]));
 }
 
+/// One request crashes servers again and again, each time with another session's part in its prompt.
+#[test]
+fn find_request_repeated_in_other_sessions() {
+    let content = |body: &str, session: &str| {
+        let prompt = format!("shared:100,{session}:50");
+        let request = Request {
+            method: "POST",
+            host: "shop.example",
+            path: "/prompts/1",
+            caller: "tannery",
+            prompt: &prompt,
+            body: body.as_bytes(),
+        };
+        Content::new(&request, &[segment("shared"), segment(session)])
+    };
+    let mut table = Table::default();
+    for (index, name) in (0..).zip(["s", "t", "u"]) {
+        lose(&mut table, index * 1_000, name, &content(BAD, name));
+    }
+    assert!(table.find(unix(2_100), &content(BAD, "other")).is_some());
+    assert!(
+        table
+            .find(unix(2_100), &content("sound", "other"))
+            .is_none()
+    );
+}
+
 /// Many requests wait at a server that crashes, and the report of it has to fit into a datagram.
 #[test]
 fn crash_report_bounded() {
