Lengthen the refusal of a request that may be sound only when it crashes servers again

What callers would have seen: a popular sound request, at each of many servers that crash within seconds, refused for up to ten minutes. Found by reading, which doubled the time with each crash beyond the third, also within one outage.

Change: the time doubles for each crash after a pause as long as the shortest refusal, which is when the request was let through.

find_popular_request_in_large_outage_soon_accepted failed before, passes. find_request_answered_before_crashes_on (9 crashes in ten minutes at most) still passes.

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -49,8 +49,8 @@
 const MAX_CRASHES: usize = 64;
 
 /// Time after the last crash for which a request is refused if something else may explain the crashes, in
-/// milliseconds. After that one more crash, or an answer, tells. It doubles with each crash beyond
-/// [`MIN_CRASHES`].
+/// milliseconds. After that one more crash, or an answer, tells. It doubles each time the request is let
+/// through and crashes a server again.
 pub const AMBIGUOUS_MS: u64 = 10_000;
 
 /// Maximum number of keys that are kept for a crash, so that a report fits into a datagram.
@@ -669,9 +669,11 @@
         let kept = self.bursts[self.bursts.len() - MIN_CRASHES] + RETENTION_MS;
         match self.bursts.last() {
             Some(last) if self.is_ambiguous => {
-                let beyond = u32::try_from(self.bursts.len() - MIN_CRASHES).unwrap_or(u32::MAX);
-                let factor = 2_u64.saturating_pow(beyond);
-                kept.min(last.saturating_add(AMBIGUOUS_MS.saturating_mul(factor)))
+                let returns = self.bursts.windows(2);
+                let returns = returns.filter(|pair| pair[1] >= pair[0] + AMBIGUOUS_MS);
+                let returns = u32::try_from(returns.count()).unwrap_or(u32::MAX);
+                let pause_ms = AMBIGUOUS_MS.saturating_mul(2_u64.saturating_pow(returns));
+                kept.min(last.saturating_add(pause_ms))
             }
             _ => kept,
         }
--- a/tests/core/gateway/quarantine.rs
+++ b/tests/core/gateway/quarantine.rs
@@ -802,6 +802,19 @@
     }
 }
 
+/// A request that many callers send is at each of many servers that crash within seconds.
+#[test]
+fn find_popular_request_in_large_outage_soon_accepted() {
+    const PATIENCE_MS: u64 = 15_000;
+    let mut table = Table::default();
+    let sound = repeated("sound");
+    table.record_answer(unix(200), unix(100), &sound);
+    for index in 1..=12 {
+        lose(&mut table, index * 400, &format!("s-{index}"), &sound);
+    }
+    assert!(table.find(unix(4_800 + PATIENCE_MS), &sound).is_none());
+}
+
 /// One that goes on crashing servers reaches one less and less often.
 #[test]
 fn find_request_answered_before_crashes_on() {
