Turn connections silent when the request runs, not after a fixed time

The test silenced all open connections 250 ms after its start. Beside load the request is sent later than that, on a connection that opens after the silence and works. Trace: with the silence at 0 ms the test fails in the same way.

The connections are silenced now when a server has begun to run the request. The checks are the same, and the case that they check can't be missed.

--- a/tests/integration/silence.rs
+++ b/tests/integration/silence.rs
@@ -66,8 +66,12 @@
         let caller = Caller::new(cluster.addresses(), "sorters", CREDENTIAL).await;
         let caller = caller.with_detours(detours);
         let silencing = proxies.clone();
+        let servers = cluster.servers.clone();
         rt::spawn(async move {
-            sleep(Duration::from_millis(250)).await;
+            // A connection that opens later isn't silent.
+            while !servers.iter().any(|it| it.ran().contains_key("moved-1")) {
+                sleep(Duration::from_millis(5)).await;
+            }
             silencing.iter().for_each(|proxy| proxy.silence());
         });
         let outcome = caller.ask("notes", "moved-1", r#"{"prompt":"lot"}"#).await;
