--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -9,7 +9,7 @@
     fs::{self, File},
     io::{BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
@@ -368,6 +368,7 @@
     pub name: String,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    pub lookup: SocketAddr,
 }
 
 /// Ends all hosts when the case ends, also after a panic.
@@ -441,27 +442,38 @@
         );
         let path = folder.join("local.json");
         fs::write(&path, settings).expect("the settings can be written");
-        let log = File::create(folder.join("log")).expect("the log can be written");
-        // The command of deploy/system.toml, in the repository root.
-        let child = Command::new("target/release/teaselchute-entry")
-            .env("TEASELCHUTE_BOOT", &path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn();
-        let Ok(child) = child else {
-            eprintln!("target/release/teaselchute-entry doesn't start: build it, and run from the root");
-            std::process::exit(NOT_RUN);
-        };
         Self {
-            child,
+            child: Self::start(&folder),
             folder,
             name,
             callers,
             ready,
+            lookup,
         }
     }
 
+    /// Starts the command of deploy/system.toml in the repository root.
+    fn start(folder: &Path) -> Child {
+        let log = File::options().create(true).append(true).open(folder.join("log"));
+        let child = Command::new("target/release/teaselchute-entry")
+            .env("TEASELCHUTE_BOOT", folder.join("local.json"))
+            .stdin(Stdio::null())
+            .stdout(log.expect("the log can be written"))
+            .stderr(Stdio::null())
+            .spawn();
+        child.unwrap_or_else(|_| {
+            eprintln!("target/release/teaselchute-entry doesn't start: build it first");
+            std::process::exit(NOT_RUN);
+        })
+    }
+
+    /// Starts the process again after it has ended.
+    pub fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = Self::start(&self.folder);
+    }
+
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.ready) else {
             return false;
