Review: scripts end their hosts when they are killed, and start traffic in touch

A host ends with the case that started it, any end of a case but 0, 1 and 2 counts as not run, and traffic starts 4.5 s after the hosts are ready, longer than contact-ms.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,11 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case-2 ] || { echo "run review/build.sh first"; exit 2; }
 [ -x target/release/teaselchute-entry ] || { echo "run the build of deploy/system.toml first"; exit 2; }
-exec target/review/case-2 review/2
+target/review/case-2 review/2 &
+case=$!
+trap 'kill "$case" 2>/dev/null; exit 2' HUP INT TERM
+wait "$case"
+code=$?
+# Any other end, such as a panic of a stand-in, means that the case couldn't run.
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -10,6 +10,7 @@
     io::{BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
+    os::unix::process::CommandExt,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Condvar, Mutex,
@@ -24,6 +25,9 @@
 pub const HOST: &str = "pule25.example";
 pub const ZONE: &str = "almaty-a";
 
+/// Time without disruption after which a machine is in touch, in milliseconds.
+pub const CONTACT_MS: u64 = 4_000;
+
 /// Exit codes of a case.
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
@@ -361,6 +365,13 @@
 
 // --- Entry hosts ---------------------------------------------------------------------------------
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// An entry host: the program of the deploy file as a child process.
 pub struct Host {
     child: Child,
@@ -391,8 +402,8 @@
         let deadline = Instant::now() + Duration::from_secs(8);
         while Instant::now() < deadline {
             if hosts.iter().all(Host::is_ready) {
-                // Hosts discover each other by their heartbeats.
-                sleep_ms(3_000);
+                // Longer than `contact-ms`, so that they are in touch. They discover each other meanwhile.
+                sleep_ms(CONTACT_MS + 500);
                 record.say(&format!("{count} entry hosts are ready"));
                 return hosts;
             }
@@ -455,13 +466,21 @@
     /// Starts the command of deploy/system.toml in the repository root.
     fn start(folder: &Path) -> Child {
         let log = File::options().create(true).append(true).open(folder.join("log"));
-        let child = Command::new("target/release/teaselchute-entry")
+        let mut command = Command::new("target/release/teaselchute-entry");
+        command
             .env("TEASELCHUTE_BOOT", folder.join("local.json"))
             .stdin(Stdio::null())
             .stdout(log.expect("the log can be written"))
-            .stderr(Stdio::null())
-            .spawn();
-        child.unwrap_or_else(|_| {
+            .stderr(Stdio::null());
+        // SAFETY: the function only makes a system call.
+        unsafe {
+            command.pre_exec(|| {
+                // The host ends with the case, also if that is killed.
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        command.spawn().unwrap_or_else(|_| {
             eprintln!("target/release/teaselchute-entry doesn't start: build it first");
             std::process::exit(NOT_RUN);
         })
