Admit nobody once the last key is taken away

Unsafe requests ran, without an organisation.

Cause: the configuration asked whether there is any credential, not whether there are organisations. The empty set of credentials passed for a deployment without authentication. The adapter passed on pairs of key and organisation only, so the core could not tell the two apart.

The same answers came from a host that had another configuration before and from one that started with this one, so nothing of an older version is involved.

Change: whether callers need a credential is a fact of its own, config::Access, which follows from the list of organisations in the configuration. An empty list, or one without keys, admits nobody but on public routes. Without the list callers need no key, and one that they send is unknown: nobody holds it. A header that isn't text counts as an unknown key instead of a missing one. `null` in place of the list is an error as before.

--- a/src/core/gateway/config.rs
+++ b/src/core/gateway/config.rs
@@ -196,8 +196,16 @@
     /// Limits on the requests of callers.
     pub limits: Limits,
     routes: HashMap<Name, Vec<Arc<Route>>>,
-    organisations: HashMap<Name, Arc<Organisation>>,
-    needs_credentials: bool,
+    access: Access,
+}
+
+/// Who may send requests on routes that aren't public.
+#[derive(Clone, Debug)]
+pub enum Access {
+    /// Everyone: the configuration has no organisations.
+    Open,
+    /// Organisations, by the credentials of their callers. Nobody if no credential is left.
+    Organisations(HashMap<Name, Arc<Organisation>>),
 }
 
 /// Why a request is not admitted.
@@ -212,12 +220,12 @@
 }
 
 impl Config {
-    /// Creates a configuration. `credentials` maps credentials to organisations.
+    /// Creates a configuration.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         services: Vec<Service>,
-        credentials: Vec<(Name, Arc<Organisation>)>,
+        access: Access,
         limits: Limits,
     ) -> Self {
         let mut by_host: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
@@ -237,8 +245,7 @@
                 .collect(),
             limits,
             routes: by_host,
-            needs_credentials: !credentials.is_empty(),
-            organisations: credentials.into_iter().collect(),
+            access,
         }
     }
 
@@ -260,10 +267,19 @@
         credential: Option<&str>,
     ) -> Result<(Arc<Route>, Option<Arc<Organisation>>), Denial> {
         let route = self.route(host, path).ok_or(Denial::NoRoute)?;
-        let organisation = credential.and_then(|key| self.organisations.get(key));
-        if organisation.is_none() && self.needs_credentials && !route.public {
-            return Err(Denial::Unauthorised);
+        let organisation = match (&self.access, credential) {
+            (Access::Organisations(organisations), Some(key)) => organisations.get(key),
+            (Access::Organisations(_), None) | (Access::Open, _) => None,
+        };
+        let is_admitted = match &self.access {
+            Access::Organisations(_) => organisation.is_some(),
+            // A credential that nobody holds is unknown here too, such as one of the last organisation.
+            Access::Open => credential.is_none(),
+        };
+        if is_admitted || route.public {
+            Ok((route.clone(), organisation.cloned()))
+        } else {
+            Err(Denial::Unauthorised)
         }
-        Ok((route.clone(), organisation.cloned()))
     }
 }
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -218,7 +218,8 @@
         return Err(Refusal::new(status, "head too large"));
     }
     let credential = head.headers.get(&names.credential);
-    let credential = credential.and_then(|value| value.to_str().ok());
+    // One that isn't text is unknown rather than missing.
+    let credential = credential.map(|value| value.to_str().unwrap_or_default());
     let host = header_text(&head.headers, &header::HOST);
     let admitted = config.admit(host, head.uri.path(), credential);
     let (route, organisation) = admitted.map_err(|denial| match denial {
--- a/tests/core/gateway/config.rs
+++ b/tests/core/gateway/config.rs
@@ -1,6 +1,10 @@
-use std::sync::Arc;
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
 
 use teaselchute::core::gateway::config::{
+    Access,
     Config,
     Denial,
     Kind,
@@ -37,19 +41,22 @@
         priority: None,
         regions: Vec::new(),
     });
+    let organisations = HashMap::from([("secret".into(), organisation)]);
+    config_of(routes, Access::Organisations(organisations))
+}
+
+fn config_of(routes: Vec<Route>, access: Access) -> Config {
     let limits = Limits {
         head_bytes: 16_384,
         body_bytes: 4_194_304,
         head_timeout_ms: 3_000,
         idle_timeout_ms: 15_000,
     };
-    Config::new(
-        1,
-        routes,
-        Vec::new(),
-        vec![("secret".into(), organisation)],
-        limits,
-    )
+    Config::new(1, routes, Vec::new(), access, limits)
+}
+
+fn routes() -> Vec<Route> {
+    vec![route("r", "/a/", false), route("open", "/open/", true)]
 }
 
 #[test]
@@ -89,6 +96,38 @@
     assert_eq!(denied, Err(Denial::NoRoute));
 }
 
+/// The last credential was taken away. Its absence must not be taken for a configuration without
+/// organisations, which admits everyone.
+#[test]
+fn admit_no_credential_left() {
+    let config = config_of(routes(), Access::Organisations(HashMap::new()));
+    for credential in [None, Some("secret"), Some("wrong"), Some("")] {
+        let denied = config.admit("host", "/a/1", credential).map(|_| ());
+        assert_eq!(denied, Err(Denial::Unauthorised), "{credential:?}");
+        assert!(config.admit("host", "/open/1", credential).is_ok());
+    }
+}
+
+/// Without organisations, callers have no credentials. One that is sent all the same was never given out
+/// or is that of an organisation that was removed.
+#[test]
+fn admit_no_organisations() {
+    let config = config_of(routes(), Access::Open);
+    assert!(config.admit("host", "/a/1", None).is_ok());
+    for credential in ["secret", ""] {
+        let denied = config.admit("host", "/a/1", Some(credential)).map(|_| ());
+        assert_eq!(denied, Err(Denial::Unauthorised));
+        assert!(config.admit("host", "/open/1", Some(credential)).is_ok());
+    }
+}
+
+#[test]
+fn admit_no_routes() {
+    let config = config(Vec::new());
+    let denied = config.admit("host", "/a/1", Some("secret")).map(|_| ());
+    assert_eq!(denied, Err(Denial::NoRoute));
+}
+
 #[test]
 fn target_by_weight() {
     let mut route = route("r", "/a/", false);
