End resumed streams at their deadline and when their caller leaves

Cause: the relay of a stream watched the deadline and the caller only while it waited for the next events of the server. The branch that handles a lost server waited for the second attempt outside of that, and no part of an attempt has a limit of its own: it relies on the one of the request, which ends with the first events. For the same reason the write to a slow caller, and that of the error which breaks the answer off, waited without a limit.

Change: one select over the whole relay holds the deadline and the caller, so that every wait in it ends, and what the request holds (slot, connection, count of running requests) is released with the future that waited. The body of a stream is truncated unless its end was declared, so breaking it off needs no room in the channel to a slow caller. The log says how an answer ended: complete, lost, deadline or caller left; before, the last three could not be told apart.

--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -24,7 +24,10 @@
 
 use crate::shell::gateway::{
     Gateway,
-    log::Event,
+    log::{
+        End,
+        Event, //
+    },
     quarantines,
     stages, //
 };
@@ -404,13 +407,16 @@
     fn deliver(&self, response: Response<Bytes>) -> Response<Body> {
         let (mut head, body) = response.into_parts();
         remove_hop_headers(&mut head.headers);
-        self.log_answered(head.status, true, self.elapsed_ms());
+        self.log_answered(head.status, End::Complete, self.elapsed_ms());
         Response::from_parts(head, full_body(body))
     }
 
-    fn log_answered(&self, status: StatusCode, is_whole: bool, first_ms: u64) {
+    fn log_answered(&self, status: StatusCode, end: End, first_ms: u64) {
         let gateway = &self.gateway;
-        let reason = if is_whole { "answered" } else { "broke off" };
+        let reason = match end {
+            End::Complete => "answered",
+            End::Lost | End::Deadline | End::CallerLeft => "broke off",
+        };
         gateway.metrics.count_request(status.as_u16(), reason);
         let route = KeyValue::new("route", self.route.name.to_string());
         gateway.metrics.first_byte_ms.record(first_ms, &[route]);
@@ -419,7 +425,7 @@
             content: self.content.whole(),
             route: &self.route.name,
             status: status.as_u16(),
-            whole: is_whole,
+            end,
             attempts: self.attempts.get(),
             stages_ms: self.stages_ms.get(),
             first_ms,
--- a/src/shell/gateway/forward/reply.rs
+++ b/src/shell/gateway/forward/reply.rs
@@ -2,9 +2,17 @@
 
 use std::{
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
     task::{
         Context,
-        Poll, //
+        Poll,
+        ready, //
     },
 };
 
@@ -32,7 +40,7 @@
 use crate::time::Instant;
 
 /// Chunks of a stream that are buffered for a slow caller.
-pub(super) const MAX_BUFFERED_CHUNKS: usize = 16;
+const MAX_BUFFERED_CHUNKS: usize = 16;
 
 /// Default retry delay of a refusal, in seconds.
 pub(super) const DEFAULT_RETRY_AFTER_S: f64 = 0.5;
@@ -58,8 +66,58 @@
 #[error("the stream broke off")]
 pub(in crate::shell::gateway) struct Truncated;
 
-/// A body whose chunks a task sends over a channel.
-pub(super) struct Channel(pub(super) mpsc::Receiver<Result<Bytes, Truncated>>);
+/// Opens a body with a first chunk, so that it is written together with the head. A task sends the others.
+pub(super) fn channel_body(first: Bytes) -> (Sender, Body) {
+    let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    // The channel is empty and can't be full.
+    let _ = chunks.try_send(first);
+    let is_complete = Arc::new(AtomicBool::new(false));
+    let body = Channel {
+        chunks: receiver,
+        is_complete: is_complete.clone(),
+        has_ended: false,
+    };
+    let sender = Sender {
+        chunks,
+        is_complete,
+    };
+    (sender, UnsyncBoxBody::new(body))
+}
+
+/// Sends the chunks of a body. The body is truncated unless its end is declared by
+/// [`Sender::finish`], so that a task that is cancelled or waits for a slow caller need not send anything
+/// for that.
+pub(super) struct Sender {
+    chunks: mpsc::Sender<Bytes>,
+    is_complete: Arc<AtomicBool>,
+}
+
+impl Sender {
+    /// Sends a chunk. Waits while the caller reads slowly.
+    ///
+    /// # Errors
+    ///
+    /// [`Truncated`] if the caller left.
+    pub(super) async fn send(&self, chunk: Bytes) -> Result<(), Truncated> {
+        self.chunks.send(chunk).await.map_err(|_| Truncated)
+    }
+
+    /// Waits until the caller left.
+    pub(super) async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+
+    /// Ends the body after the chunks that were sent.
+    pub(super) fn finish(self) {
+        self.is_complete.store(true, Ordering::Release);
+    }
+}
+
+struct Channel {
+    chunks: mpsc::Receiver<Bytes>,
+    is_complete: Arc<AtomicBool>,
+    has_ended: bool,
+}
 
 impl hyper::body::Body for Channel {
     type Data = Bytes;
@@ -69,8 +127,17 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        let chunk = self.0.poll_recv(cx);
-        chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        match ready!(self.chunks.poll_recv(cx)) {
+            Some(chunk) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+            None => {
+                self.has_ended = true;
+                let is_complete = self.is_complete.load(Ordering::Acquire);
+                Poll::Ready((!is_complete).then_some(Err(Truncated)))
+            }
+        }
     }
 }
 
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -7,12 +7,8 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{
-    BodyExt,
-    combinators::UnsyncBoxBody, //
-};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 
 use crate::{
     core::gateway::{
@@ -23,6 +19,7 @@
     },
     shell::gateway::{
         log::{
+            End,
             Event,
             Progress, //
         },
@@ -37,9 +34,8 @@
     assign::Slot,
     reply::{
         Body,
-        Channel,
-        MAX_BUFFERED_CHUNKS,
-        Truncated,
+        Sender,
+        channel_body,
         remove_hop_headers, //
     },
     send::Answer,
@@ -108,75 +104,62 @@
             first,
             source,
         } = *self;
-        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-        // The channel is empty and can't be full.
-        let _ = sender.try_send(Ok(first));
+        let (sender, body) = channel_body(first);
         let first_ms = exchange.elapsed_ms();
         let status = head.status;
         let exchange = exchange.clone();
         tokio::task::spawn_local(async move {
-            let is_whole = relay(&exchange, source, &sender).await;
-            exchange.log_answered(status, is_whole, first_ms);
+            let end = relay(&exchange, source, sender).await;
+            exchange.log_answered(status, end, first_ms);
         });
         remove_hop_headers(&mut head.headers);
-        Response::from_parts(head, UnsyncBoxBody::new(Channel(receiver)))
+        Response::from_parts(head, body)
     }
 }
 
-/// Relays events until the stream ends, and returns whether it is complete.
-pub(super) async fn relay(
-    exchange: &Rc<Exchange>,
-    mut source: Source,
-    sender: &mpsc::Sender<Result<Bytes, Truncated>>,
-) -> bool {
+/// Relays events until the stream ends, and returns how it did.
+///
+/// The deadline and a caller that leaves end every wait of the stream: for events, for another server that
+/// resumes it, and for a caller that reads slowly. What the request holds at a server is released with the
+/// future that waited.
+async fn relay(exchange: &Rc<Exchange>, source: Source, sender: Sender) -> End {
     let remaining_ms = exchange.deadline.since_ms(exchange.gateway.now()) + ANSWER_GRACE_MS;
-    let deadline = tokio::time::sleep(Duration::from_millis(remaining_ms));
-    tokio::pin!(deadline);
+    let end = tokio::select! {
+        end = relay_events(exchange, source, &sender) => end,
+        () = sender.closed() => End::CallerLeft,
+        () = tokio::time::sleep(Duration::from_millis(remaining_ms)) => End::Deadline,
+    };
+    if end == End::Complete {
+        sender.finish();
+    }
+    end
+}
+
+async fn relay_events(exchange: &Rc<Exchange>, mut source: Source, sender: &Sender) -> End {
     loop {
-        let chunk = tokio::select! {
-            chunk = source.next() => chunk,
-            // The caller disconnected. Dropping the source closes the server's connection.
-            () = sender.closed() => return false,
-            () = &mut deadline => {
-                let _ = sender.send(Err(Truncated)).await;
-                return false;
-            }
-        };
-        match chunk {
-            Chunk::Events(events) => {
-                if sender.send(Ok(events)).await.is_err() {
-                    return false;
-                }
-            }
+        let events = match source.next().await {
+            Chunk::Events(events) => events,
             Chunk::End => {
                 let sent_unix_ms = source.sent_unix_ms;
                 quarantines::observe_answer(&exchange.gateway, sent_unix_ms, &exchange.content);
-                return true;
+                return End::Complete;
             }
             Chunk::Lost(reason) => match resume(exchange, source, &reason).await {
-                Some(next) => {
-                    let (next, events) = next;
+                Some((next, events)) => {
                     source = next;
-                    if sender.send(Ok(events)).await.is_err() {
-                        return false;
-                    }
-                }
-                None => {
-                    // The caller's connection is closed whether or not this is sent.
-                    let _ = sender.send(Err(Truncated)).await;
-                    return false;
+                    events
                 }
+                None => return End::Lost,
             },
+        };
+        if sender.send(events).await.is_err() {
+            return End::CallerLeft;
         }
     }
 }
 
 /// Resumes the stream at another server after the last complete event, if the route allows it.
-pub(super) async fn resume(
-    exchange: &Rc<Exchange>,
-    lost: Source,
-    reason: &str,
-) -> Option<(Source, Bytes)> {
+async fn resume(exchange: &Rc<Exchange>, lost: Source, reason: &str) -> Option<(Source, Bytes)> {
     let last = lost.framer.last_id();
     let server = lost.slot.server();
     let is_beginning = exchange.gateway.now().since_ms(lost.begun_at) < BEGINNING_MS;
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -44,6 +44,30 @@
     }
 }
 
+/// How the answer to a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It is complete.
+    Complete,
+    /// The server broke off, and no other one could resume it.
+    Lost,
+    /// The deadline passed in the midst of it.
+    Deadline,
+    /// The caller left in the midst of it.
+    CallerLeft,
+}
+
+impl End {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Lost => "lost",
+            Self::Deadline => "deadline",
+            Self::CallerLeft => "caller left",
+        }
+    }
+}
+
 /// Formats the hash of a part's id, which is all that a host knows of parts that others reported.
 fn part_key(key: cache::Key) -> String {
     format!("{key:016x}")
@@ -247,8 +271,8 @@
         route: &'a Name,
         /// Status of the response.
         status: u16,
-        /// Whether it was complete.
-        whole: bool,
+        /// How it ended.
+        end: End,
         /// Number of attempts.
         attempts: u32,
         /// Time in stages.
@@ -463,14 +487,15 @@
                 content,
                 route,
                 status,
-                whole,
+                end,
                 attempts,
                 stages_ms,
                 first_ms,
                 ms,
             } => slog::info!(log, "answered"; "request" => request,
                 "content" => part_key(*content), "route" => %route,
-                "status" => status, "whole" => whole, "attempts" => attempts,
+                "status" => status, "whole" => *end == End::Complete, "end" => end.text(),
+                "attempts" => attempts,
                 "stages_ms" => stages_ms, "first_ms" => first_ms, "ms" => ms),
             Event::Stage {
                 request,
