Send nothing to a server that this host knows to be leaving

Cause: from 24 hosts on a dispatcher assigns requests with prompts from its own table of servers. The host that asked took its grant as it was. A dispatcher that the store doesn't answer goes on to grant what it knew, for up to 8 s, and the host's own table, which had the change within a second, was not looked at.

Change: one check, Gateway::usable_entry, by what this host knows at the moment of sending, on every way to a server: attempts of any kind (own choice, grant, repetition, resumed stream, request that waited), calls with pieces, and the server from whose cache a prompt is fetched. A grant that fails it is given back to the dispatcher, logged and counted, and the dispatcher is asked again; after two such grants the host takes a server from its own share. The question excludes the servers that the host knows to be leaving, so that most grants are right at once. A grant of another service or region than the request's is declined too.

--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -299,10 +299,7 @@
         let tokens =
             |segments: &[Segment]| segments.iter().map(|segment| segment.tokens).sum::<u64>();
         let cached = self.cache.cached_segments(now, prompt, id);
-        let is_usable = |name: &Name| {
-            let server = table.get(name);
-            name != id && server.is_some_and(|server| table.is_usable(server))
-        };
+        let is_usable = |name: &Name| name != id && table.usable_by_id(name).is_some();
         let missing = tokens(&prompt[cached..]);
         let Some((source, count)) = self.cache.source(now, prompt, cached, is_usable) else {
             return (missing, None);
--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -259,6 +259,19 @@
         !server.entry.leaving && !self.drained.contains(&server.entry.data_centre)
     }
 
+    /// Returns a server if it can get new requests. A server that was selected earlier or by another host
+    /// has to pass this before anything is sent to it.
+    pub fn usable_by_id(&self, id: &str) -> Option<&Server> {
+        self.get(id).filter(|server| self.is_usable(server))
+    }
+
+    /// Returns the servers of a service that get no new requests, but whose entries exist.
+    pub fn unusable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
+        self.servers
+            .values()
+            .filter(move |server| &*server.entry.service == service && !self.is_usable(server))
+    }
+
     /// Returns the servers of a service that can get new requests.
     pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Server> {
         self.servers
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -24,6 +24,7 @@
             Grant, //
         },
         retry::Outcome,
+        servers::Entry, //
     },
     names::Name,
     shell::gateway::{
@@ -49,6 +50,10 @@
 /// Maximum number of servers that a question to a dispatcher excludes, so that it fits a datagram.
 const MAX_EXCLUDED: usize = 24;
 
+/// Maximum number of grants that a request declines in a region, since their servers get no requests any more.
+/// A dispatcher that hasn't heard of so many is no help, and each question takes a round trip.
+const MAX_DECLINED: usize = 2;
+
 /// A request's slot at a server, released on drop.
 pub(super) struct Slot {
     gateway: Rc<Gateway>,
@@ -181,6 +186,14 @@
         !self.prompt.is_empty() && self.gateway.overview().has_dispatchers
     }
 
+    /// Returns the registration of a server if the request may be sent to it, by what this host knows at this
+    /// moment.
+    pub(super) fn usable_entry(&self, server: &Name) -> Option<Entry> {
+        let entry = self.gateway.usable_entry(server)?;
+        let is_allowed = entry.service == self.service && self.is_allowed(&entry.data_centre);
+        is_allowed.then_some(entry)
+    }
+
     /// Has a dispatcher assign a server, that of the preferred region first. This host assigns one
     /// from its own share if no dispatcher of that region answers.
     async fn ask_dispatchers(&self) -> Result<Slot, balance::Error> {
@@ -191,18 +204,7 @@
         let mut has_server = false;
         let mut limited = None;
         for region in regions.iter().filter(|region| self.allows_region(region)) {
-            let max_running = self.max_connections(gateway.overview().group.size());
-            let max_running = u32::try_from(max_running).unwrap_or(u32::MAX);
-            let mut excluded = self.tried.borrow().clone();
-            excluded.extend(gateway.balancer.borrow().at_limit(max_running));
-            excluded.truncate(MAX_EXCLUDED);
-            let ask = Ask {
-                service: self.service.clone(),
-                prompt: self.prompt.clone(),
-                excluded,
-                remaining_ms: self.deadline.since_ms(gateway.now()),
-            };
-            match datagrams::ask(gateway, region, &ask).await {
+            match self.ask_region(region).await {
                 Answer::Granted(grant, lease) => return Ok(self.accept(grant, lease)),
                 Answer::Full => has_server = true,
                 Answer::Limited(wait_ms) => limited = Some(wait_ms),
@@ -221,6 +223,54 @@
         })
     }
 
+    /// Asks the dispatchers of a region until one grants a server to which the request may be sent. They
+    /// count as silent if they only grant servers that this host knows to be leaving or gone: the store may
+    /// not answer them.
+    async fn ask_region(&self, region: &Name) -> Answer {
+        let gateway = &self.gateway;
+        let mut declined = Vec::new();
+        while declined.len() < MAX_DECLINED {
+            let ask = Ask {
+                service: self.service.clone(),
+                prompt: self.prompt.clone(),
+                excluded: self.excluded(&declined),
+                remaining_ms: self.deadline.since_ms(gateway.now()),
+            };
+            let (grant, lease) = match datagrams::ask(gateway, region, &ask).await {
+                Answer::Granted(grant, lease) => (grant, lease),
+                answer => return answer,
+            };
+            if self.usable_entry(&grant.server).is_some() {
+                return Answer::Granted(grant, lease);
+            }
+            lease.complete(gateway, false);
+            gateway.metrics.declined_grants.add(1, &[]);
+            gateway.log.write(&Event::Declined {
+                request: &self.id,
+                server: &grant.server,
+                dispatcher: &lease.dispatcher,
+                is_known: gateway.servers.borrow().get(&grant.server).is_some(),
+            });
+            declined.push(grant.server);
+        }
+        Answer::Silent
+    }
+
+    /// Returns the servers that a dispatcher must not grant, those that matter most first.
+    fn excluded(&self, declined: &[Name]) -> Vec<Name> {
+        let gateway = &self.gateway;
+        let max_running = self.max_connections(gateway.overview().group.size());
+        let max_running = u32::try_from(max_running).unwrap_or(u32::MAX);
+        let mut excluded = declined.to_vec();
+        excluded.extend(self.tried.borrow().iter().cloned());
+        let servers = gateway.servers.borrow();
+        let unusable = servers.unusable(&self.service);
+        excluded.extend(unusable.map(|server| server.entry.id.clone()));
+        excluded.extend(gateway.balancer.borrow().at_limit(max_running));
+        excluded.truncate(MAX_EXCLUDED);
+        excluded
+    }
+
     /// Takes the slot that a dispatcher granted.
     fn accept(&self, grant: Grant, lease: Lease) -> Slot {
         let gateway = &self.gateway;
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -29,7 +29,7 @@
     },
     names::Name,
     shell::gateway::{
-        clock,
+        SERVER_UNUSABLE, clock,
         log::{
             Event,
             Progress, //
@@ -70,7 +70,7 @@
             return Err(self.quarantined());
         }
         self.tried.borrow_mut().push(server.clone());
-        let entry = self.gateway.server_entry(&server);
+        let entry = self.usable_entry(&server);
         let sent_unix_ms = clock::unix_ms();
         let result = self.send(slot, entry.as_ref(), resume).await;
         if let Err(failure) = &result {
@@ -114,7 +114,7 @@
             progress: Progress::None,
         };
         let Some(entry) = entry else {
-            return Err(failure(Outcome::NotSent, "server gone".to_string()));
+            return Err(failure(Outcome::NotSent, SERVER_UNUSABLE.to_string()));
         };
         let request = self
             .request(&server, slot.source(), resume)
@@ -214,10 +214,9 @@
             headers.insert(&names.organisation, value(&organisation.name)?);
         }
         if let Some(source) = source
-            && let Some(server) = self.gateway.servers.borrow().get(&source)
+            && let Some(source) = self.usable_entry(&source)
         {
-            let address = value(&server.entry.address.to_string())?;
-            headers.insert(&names.cache_source, address);
+            headers.insert(&names.cache_source, value(&source.address.to_string())?);
         }
         let inputs = self.inputs.borrow();
         if !inputs.is_empty() {
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -212,6 +212,17 @@
         /// The dispatcher that assigned the server. `None` if this host did.
         dispatcher: Option<&'a Name>,
     },
+    /// A grant of a dispatcher was declined, since its server gets no requests any more.
+    Declined {
+        /// The request.
+        request: &'a str,
+        /// The server.
+        server: &'a Name,
+        /// The dispatcher.
+        dispatcher: &'a Name,
+        /// Whether this host knows the server, which then is leaving or drained.
+        is_known: bool,
+    },
     /// An attempt at a server failed.
     Failed {
         /// The request.
@@ -439,6 +450,13 @@
             } => slog::info!(log, "placed"; "request" => request, "server" => %server,
                 "attempt" => attempt, "running" => running, "tokens" => tokens, "age_ms" => age_ms,
                 "dispatcher" => dispatcher.map(Name::as_str)),
+            Event::Declined {
+                request,
+                server,
+                dispatcher,
+                is_known,
+            } => slog::info!(log, "grant declined"; "request" => request, "server" => %server,
+                "dispatcher" => %dispatcher, "known" => is_known),
             Event::Failed {
                 request,
                 content,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -29,6 +29,8 @@
     pub attempts: Counter<u64>,
     /// Attempts whose server crashed before its answer began, by service.
     pub crashes: Counter<u64>,
+    /// Grants of dispatchers whose servers get no requests any more, by what this host knows.
+    pub declined_grants: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
 }
@@ -51,6 +53,7 @@
             batch_pieces: histogram("gateway_batch_pieces"),
             attempts: counter("gateway_attempts"),
             crashes: counter("gateway_crashes"),
+            declined_grants: counter("gateway_declined_grants"),
             store_calls: counter("gateway_store_calls"),
             exporter,
         })
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -93,6 +93,9 @@
 /// Time before SIGKILL at which the process exits by itself, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 350;
 
+/// Why nothing was sent to a server that is leaving, drained or gone.
+const SERVER_UNUSABLE: &str = "server leaving or gone";
+
 /// Reads the settings.
 pub type ReadOptions = Box<dyn Fn() -> anyhow::Result<Options>>;
 
@@ -169,6 +172,15 @@
         self.stage_limiter.borrow_mut().forget(id);
     }
 
+    /// Returns the registration of a server if requests may be sent to it, by what this host knows at this
+    /// moment. Every request passes this just before it is sent: its server may have been selected by another
+    /// host that hasn't heard that the server leaves, or before the request waited.
+    fn usable_entry(&self, id: &Name) -> Option<servers::Entry> {
+        let servers = self.servers.borrow();
+        let server = servers.usable_by_id(id)?;
+        Some(server.entry.clone())
+    }
+
     /// Returns the registration of a server.
     fn server_entry(&self, id: &Name) -> Option<servers::Entry> {
         let servers = self.servers.borrow();
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -22,7 +22,7 @@
 use tokio::sync::oneshot;
 
 use crate::shell::gateway::{
-    Gateway, clock, limits,
+    Gateway, SERVER_UNUSABLE, clock, limits,
     log::Event,
     peers,
     upstream::{
@@ -353,13 +353,8 @@
 
 pub(super) async fn send(gateway: &Gateway, batcher: &Batcher, call: &Call) -> Completion {
     let now = gateway.now();
-    let entry = gateway
-        .servers
-        .borrow()
-        .get(&call.server)
-        .map(|server| server.entry.clone());
-    let Some(entry) = entry else {
-        return Completion::NotRun("server gone");
+    let Some(entry) = gateway.usable_entry(&call.server) else {
+        return Completion::NotRun(SERVER_UNUSABLE);
     };
     let address = entry.address;
     let sent_unix_ms = clock::unix_ms();
--- a/tests/core/gateway/servers.rs
+++ b/tests/core/gateway/servers.rs
@@ -155,3 +155,32 @@
     table.lose_drain(at(32_000), &"a".into());
     assert!(table.set_drained(&"a".into(), false), "it ended");
 }
+
+/// Whether a server may get a request is asked again when the request is sent, by whatever is known then.
+#[test]
+fn usable_by_id_leaving_drained_or_gone() {
+    let mut table = Table::default();
+    for id in ["s1", "s2", "s3"] {
+        table.update(at(0), &id.into(), Some(entry(id, "llm", "a")), false);
+    }
+    assert!(table.usable_by_id("s1").is_some());
+    assert!(table.usable_by_id("unknown").is_none());
+    let mut leaving = entry("s1", "llm", "a");
+    leaving.leaving = true;
+    table.update(at(1), &"s1".into(), Some(leaving), false);
+    assert!(table.usable_by_id("s1").is_none());
+    let unusable = |table: &Table| {
+        let servers = table.unusable("llm");
+        servers
+            .map(|server| server.entry.id.to_string())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(unusable(&table), ["s1"]);
+    table.update(at(2), &"s2".into(), None, false);
+    assert!(table.usable_by_id("s2").is_none());
+    table.set_drained(&"a".into(), true);
+    assert!(table.usable_by_id("s3").is_none());
+    assert_eq!(unusable(&table), ["s1", "s3"], "s2 has no entry");
+    table.set_drained(&"a".into(), false);
+    assert!(table.usable_by_id("s3").is_some());
+}
