Refuse prompts at once where no server is left, with dispatchers too

What callers saw: from 24 hosts on, a request whose service had no usable server waited until shortly before its deadline, 3.9 s in the test, and was refused then. Hosts that select servers themselves refused it at once.

Cause: the reply "no server" of a dispatcher counts as "full", since another region may have one.

Change: a host that knows of no usable server that the request hasn't tried doesn't ask. With the change the test, no_server_left_refused_at_once, is answered within 0.5 s with a retry delay.

--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -194,10 +194,23 @@
         is_allowed.then_some(entry)
     }
 
+    /// Returns whether any server may get the request that hasn't failed it.
+    fn has_untried_server(&self) -> bool {
+        let tried = self.tried.borrow();
+        let servers = self.gateway.servers.borrow();
+        let mut usable = servers.usable(&self.service);
+        usable.any(|server| {
+            self.is_allowed(&server.entry.data_centre) && !tried.contains(&server.entry.id)
+        })
+    }
+
     /// Has a dispatcher assign a server, that of the preferred region first. This host assigns one
     /// from its own share if no dispatcher of that region answers.
     async fn ask_dispatchers(&self) -> Result<Slot, balance::Error> {
         let gateway = &self.gateway;
+        if !self.has_untried_server() {
+            return Err(balance::Error::NoServer);
+        }
         let preferred = self.region.borrow().clone();
         let mut regions: Vec<Name> = gateway.overview().dispatchers.keys().cloned().collect();
         regions.sort_by_key(|region| *region != preferred);
