Send nothing new to a server that says that it leaves

What callers would see: a server that leaves says so in all its answers from now on (`Server-Leaving: 1`), and requests that are sent there later meet a server that ends. Nothing read that header.

Change: it is read from every answer of a server, in one place (shell::gateway::departures), and makes the server unusable in the host's table, through which every request passes when it is sent. A 421 comes from another server at the address, so its word counts for that one. Hosts don't tell each other: the store's entry does so within about a second.

--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -113,6 +113,16 @@
     left: BTreeMap<Name, (Version, Instant)>,
     // Drains that a copy of the registry lacks, and since when.
     lost_drains: BTreeMap<Name, Instant>,
+    // Servers whose answers say that they leave.
+    departures: BTreeMap<Name, Departure>,
+}
+
+/// A start of a server whose answers say that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    started_at: Option<u64>,
+    // When its entry was last known.
+    known_at: Instant,
 }
 
 impl Table {
@@ -167,6 +177,37 @@
         }
     }
 
+    /// Records that an answer of a server says that it leaves. Returns whether that is new.
+    ///
+    /// Only another start of the server ends this, whatever the registry says of this one: its records, copies
+    /// and snapshots may be older than the answer.
+    pub fn record_departure(&mut self, now: Instant, id: &Name, started_at: Option<u64>) -> bool {
+        let departure = Departure {
+            started_at,
+            known_at: now,
+        };
+        let known = self.departures.insert(id.clone(), departure);
+        known.is_none_or(|known| known.started_at != started_at)
+    }
+
+    /// Returns whether answers of a server say that it leaves.
+    fn has_departed(&self, entry: &Entry) -> bool {
+        let departure = self.departures.get(&entry.id);
+        departure.is_some_and(|departure| departure.started_at == entry.started_at)
+    }
+
+    /// Drops departures of servers that have been gone for so long that no older record of them follows.
+    fn expire_departures(&mut self, now: Instant) {
+        let servers = &self.servers;
+        self.departures.retain(|id, departure| {
+            let server = servers.get(id);
+            if server.is_some_and(|server| server.entry.started_at == departure.started_at) {
+                departure.known_at = now;
+            }
+            now.since_ms(departure.known_at) < LEFT_RETENTION_MS
+        });
+    }
+
     fn remove(&mut self, now: Instant, id: &Name) -> bool {
         let Some(server) = self.servers.remove(id) else {
             return false;
@@ -191,6 +232,7 @@
         }
         self.left
             .retain(|_, (_, left_at)| now.since_ms(*left_at) < LEFT_RETENTION_MS);
+        self.expire_departures(now);
         expired
     }
 
@@ -254,9 +296,18 @@
         Some(server.entry.id.clone())
     }
 
+    /// Returns the servers at an address. There are several where the entry of one that has ended is still
+    /// there.
+    pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Server> {
+        let servers = self.servers.values();
+        servers.filter(move |server| server.entry.address == address)
+    }
+
     /// Returns whether a server can get new requests.
     pub fn is_usable(&self, server: &Server) -> bool {
-        !server.entry.leaving && !self.drained.contains(&server.entry.data_centre)
+        !server.entry.leaving
+            && !self.drained.contains(&server.entry.data_centre)
+            && !self.has_departed(&server.entry)
     }
 
     /// Returns a server if it can get new requests. A server that was selected earlier or by another host
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -32,6 +32,7 @@
         stream::Framer, //
     },
     shell::gateway::{
+        departures,
         limits,
         log::Progress,
         quarantines,
@@ -82,6 +83,7 @@
                 "answer to another request".to_string(),
             ));
         }
+        departures::observe(&self.gateway, entry, status, response.headers());
         // Another server than the one expected answers 421.
         if status.as_u16() != 421 {
             let sent = received.sent_unix_ms;
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -31,6 +31,8 @@
     pub crashes: Counter<u64>,
     /// Grants of dispatchers whose servers get no requests any more, by what this host knows.
     pub declined_grants: Counter<u64>,
+    /// Servers whose answers said that they leave.
+    pub departures: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
 }
@@ -54,6 +56,7 @@
             attempts: counter("gateway_attempts"),
             crashes: counter("gateway_crashes"),
             declined_grants: counter("gateway_declined_grants"),
+            departures: counter("gateway_departures"),
             store_calls: counter("gateway_store_calls"),
             exporter,
         })
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -58,6 +58,7 @@
 
 mod clock;
 mod datagrams;
+mod departures;
 mod forward;
 mod front;
 mod head_limit;
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -22,7 +22,7 @@
 use tokio::sync::oneshot;
 
 use crate::shell::gateway::{
-    Gateway, SERVER_UNUSABLE, clock, limits,
+    Gateway, SERVER_UNUSABLE, clock, departures, limits,
     log::Event,
     peers,
     upstream::{
@@ -383,6 +383,7 @@
         Ok(sent) => sent,
         Err(error) => return Completion::Failed(error.to_string()),
     };
+    departures::observe(gateway, &entry, response.status(), response.headers());
     let status = response.status().as_u16();
     // Another server than the one expected answers 421.
     if status != 421 {
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -16,6 +16,7 @@
 use crate::names::Name;
 use crate::shell::gateway::{
     Gateway,
+    departures,
     peers, //
 };
 
@@ -109,6 +110,7 @@
     let Some(server) = gateway.servers.borrow().by_address(holder) else {
         return;
     };
+    let entry = gateway.server_entry(&server);
     // A server in need gets no calls that it can do without: it drops the results by itself.
     if gateway.limits.borrow().is_limited(&server) {
         return;
@@ -123,5 +125,8 @@
         .exchange(&server, holder, request, MAX_ANSWER_BYTES);
     // Servers drop results after a time of their own, so a failed call only delays the release of
     // their space.
-    let _ = tokio::time::timeout(timeout, exchange).await;
+    let exchanged = tokio::time::timeout(timeout, exchange).await;
+    if let (Ok(Ok(response)), Some(entry)) = (exchanged, entry) {
+        departures::observe(gateway, &entry, response.status(), response.headers());
+    }
 }
--- a/tests/core/gateway/servers.rs
+++ b/tests/core/gateway/servers.rs
@@ -184,3 +184,47 @@
     table.set_drained(&"a".into(), false);
     assert!(table.usable_by_id("s3").is_some());
 }
+
+/// A server said that it leaves. Records of the registry that are older or copied don't undo that.
+#[test]
+fn record_departure_survives_records_of_same_start() {
+    let mut table = Table::default();
+    let joined = entry("s", "llm", "a");
+    table.update(at(0), &"s".into(), Some(joined.clone()), false);
+    assert!(table.record_departure(at(1), &"s".into(), joined.started_at));
+    assert!(!table.record_departure(at(2), &"s".into(), joined.started_at));
+    assert!(table.usable_by_id("s").is_none());
+    table.update(at(3), &"s".into(), Some(joined.clone()), false);
+    table.restore(at(4), &"s".into(), Some(joined.clone()));
+    assert!(usable(&table).is_empty());
+    // It was taken for gone, and its entry follows late.
+    table.update(at(5), &"s".into(), None, false);
+    table.expire(at(50_000));
+    table.update(at(50_001), &"s".into(), Some(joined.clone()), false);
+    assert!(usable(&table).is_empty());
+    let restarted = Entry {
+        started_at: Some(2),
+        ..joined
+    };
+    table.update(at(50_002), &"s".into(), Some(restarted), false);
+    assert_eq!(usable(&table), ["s"]);
+}
+
+/// Departures are kept while their servers are known, and forgotten some time after these are gone.
+#[test]
+fn record_departure_forgotten_after_server() {
+    let mut table = Table::default();
+    let joined = entry("s", "llm", "a");
+    table.update(at(0), &"s".into(), Some(joined.clone()), false);
+    table.record_departure(at(0), &"s".into(), joined.started_at);
+    table.expire(at(300_000));
+    assert!(usable(&table).is_empty(), "its entry still exists");
+    table.update(at(300_001), &"s".into(), None, false);
+    table.expire(at(359_999));
+    table.update(at(360_000), &"s".into(), Some(joined.clone()), false);
+    assert!(usable(&table).is_empty());
+    table.update(at(360_001), &"s".into(), None, false);
+    table.expire(at(360_001 + 60_000));
+    table.update(at(420_002), &"s".into(), Some(joined), false);
+    assert_eq!(usable(&table), ["s"]);
+}
