Word what servers announce in the field's terms; exclude full servers first

A question to a dispatcher excludes at most 24 servers. Those at this host's limit of connections come before those that leave: a grant of the latter is declined, one of the former isn't.

--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -113,11 +113,11 @@
     left: BTreeMap<Name, (Version, Instant)>,
     // Drains that a copy of the registry lacks, and since when.
     lost_drains: BTreeMap<Name, Instant>,
-    // Servers whose answers say that they leave.
+    // Servers that announced in an answer that they leave.
     departures: BTreeMap<Name, Departure>,
 }
 
-/// A start of a server whose answers say that it leaves.
+/// An announcement of a server in an answer that it leaves, which holds for one start of it.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     started_at: Option<u64>,
@@ -177,7 +177,7 @@
         }
     }
 
-    /// Records that an answer of a server says that it leaves. Returns whether that is new.
+    /// Records that a server announced in an answer that it leaves. Returns whether that is new.
     ///
     /// Only another start of the server ends this, whatever the registry says of this one: its records, copies
     /// and snapshots may be older than the answer.
@@ -190,7 +190,7 @@
         known.is_none_or(|known| known.started_at != started_at)
     }
 
-    /// Returns whether answers of a server say that it leaves.
+    /// Returns whether a server announced in an answer that it leaves.
     fn has_departed(&self, entry: &Entry) -> bool {
         let departure = self.departures.get(&entry.id);
         departure.is_some_and(|departure| departure.started_at == entry.started_at)
--- a/src/shell/gateway/departures.rs
+++ b/src/shell/gateway/departures.rs
@@ -1,8 +1,8 @@
-//! Servers that say in their answers that they leave.
+//! Servers that announce in their answers that they leave: see `docs/platform-design.md`.
 //!
-//! They are heard wherever an answer of a server is read, and get no new requests from then on, on any way:
-//! see [`Gateway::usable_entry`]. What runs there is finished there. Other hosts aren't told: the server's
-//! entry tells them within about a second, and a wrong word of one server stays with the hosts that heard it.
+//! The header is read from every answer of a server. From then on the server gets no new requests, which
+//! [`Gateway::usable_entry`] ensures. Other hosts aren't told: the server's entry in the store reaches them
+//! within about a second, and an announcement that is wrong or forged affects only the hosts that got it.
 
 use http::{
     HeaderMap,
@@ -18,10 +18,10 @@
     names::Name, //
 };
 
-/// Value of the header of a server that leaves.
+/// Value of the header where the server leaves.
 const LEAVES: &str = "1";
 
-/// Reads whether an answer to a request for `expected` says that its server leaves.
+/// Reads whether the answer to a request for the server `expected` announces that its server leaves.
 pub(super) fn observe(
     gateway: &Gateway,
     expected: &Entry,
@@ -34,21 +34,21 @@
         return;
     }
     let now = gateway.now();
-    for (id, started_at) in speakers(gateway, expected, status) {
+    for (id, started_at) in origins(gateway, expected, status) {
         let mut servers = gateway.servers.borrow_mut();
         let is_new = servers.record_departure(now, &id, started_at);
         drop(servers);
         if is_new {
             gateway.forget_server(&id);
             gateway.metrics.departures.add(1, &[]);
-            let change = "says that it leaves";
+            let change = "announced leave";
             gateway.log.write(&Event::Server { id: &id, change });
         }
     }
 }
 
 /// Returns the servers that an answer may come from, with their starts.
-fn speakers(gateway: &Gateway, expected: &Entry, status: StatusCode) -> Vec<(Name, Option<u64>)> {
+fn origins(gateway: &Gateway, expected: &Entry, status: StatusCode) -> Vec<(Name, Option<u64>)> {
     if status != StatusCode::MISDIRECTED_REQUEST {
         return vec![(expected.id.clone(), expected.started_at)];
     }
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -276,10 +276,10 @@
         let max_running = u32::try_from(max_running).unwrap_or(u32::MAX);
         let mut excluded = declined.to_vec();
         excluded.extend(self.tried.borrow().iter().cloned());
+        excluded.extend(gateway.balancer.borrow().at_limit(max_running));
         let servers = gateway.servers.borrow();
         let unusable = servers.unusable(&self.service);
         excluded.extend(unusable.map(|server| server.entry.id.clone()));
-        excluded.extend(gateway.balancer.borrow().at_limit(max_running));
         excluded.truncate(MAX_EXCLUDED);
         excluded
     }
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -31,7 +31,7 @@
     pub crashes: Counter<u64>,
     /// Grants of dispatchers whose servers get no requests any more, by what this host knows.
     pub declined_grants: Counter<u64>,
-    /// Servers whose answers said that they leave.
+    /// Servers that announced in an answer that they leave.
     pub departures: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
