--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -31,6 +31,45 @@
     pub process: Process,
     /// Bounds that the operators set.
     pub bounds: Bounds,
+    /// Behaviour that a deployment asks for.
+    #[serde(default)]
+    pub features: Features,
+}
+
+/// Behaviour that is off unless a deployment's settings ask for it, so that an update changes no decision
+/// of the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Features {
+    /// Gradual moves of a service's traffic to another version of its servers: see
+    /// `docs/design/rollout.md`. `None` if versions aren't told apart.
+    pub rollout: Option<Rollout>,
+    /// Whether requests are admitted by an estimate of their whole chain of stages: see
+    /// `docs/design/admission.md`.
+    pub admission: bool,
+    /// How servers are compared for a request.
+    pub placement: Placement,
+}
+
+/// Bounds on what callers get from a version of a service that may be faulty.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// Fraction of the service's requests that a faulty version may get, over all hosts.
+    pub exposure_ratio: f64,
+    /// Number of requests that it may get in addition.
+    pub exposure_tolerance: u64,
+    /// Time after enough failures by which it gets none, in milliseconds.
+    pub rollback_ms: u64,
+}
+
+/// How the servers of a service are compared for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Placement {
+    /// By tokens to prefill, with constants for everything else.
+    #[default]
+    Tokens,
+    /// By the expected latency at each server's measured speed: see `docs/design/placement.md`.
+    Latency,
 }
 
 /// Addresses on which a gateway listens.
