--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -150,9 +150,14 @@
     }
 
     /// Records that the store answers again after an outage.
+    ///
+    /// A read that fails once delays heartbeats by less than their interval, which the timeout covers. If it
+    /// made all hosts young again, a host that reads badly would take dead ones for live.
     pub fn store_recovered(&mut self, now: Instant) {
-        self.outage_since = None;
-        self.store_recovered_at = now;
+        let since = self.outage_since.take();
+        if since.is_some_and(|since| now.since_ms(since) >= HEARTBEAT_INTERVAL_MS) {
+            self.store_recovered_at = now;
+        }
     }
 
     /// Records whether a host answers this one. Returns whether that is a change.
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -70,6 +70,19 @@
     assert!(live(&table, 30_000 + HEARTBEAT_TIMEOUT_MS).is_empty());
 }
 
+/// Guards against lookups that name a dead host for as long as single reads of the store fail now and then.
+#[test]
+fn live_during_short_failures() {
+    let mut table = Table::default();
+    table.record(at(0), heartbeat("dead", "r", 1), false);
+    for failed_ms in (1_000..20_000).step_by(2_000) {
+        table.store_failed(at(failed_ms));
+        table.store_recovered(at(failed_ms + 900));
+    }
+    assert_eq!(live(&table, HEARTBEAT_TIMEOUT_MS - 1), ["dead"]);
+    assert!(live(&table, HEARTBEAT_TIMEOUT_MS).is_empty());
+}
+
 #[test]
 fn quota_group_paused_host() {
     let mut table = Table::default();
