--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -379,7 +379,7 @@
         Reuse::Any,
         upstream::UNLIMITED, //
     );
-    let (response, lease) = match sent.await {
+    let (response, mut lease) = match sent.await {
         Ok(sent) => sent,
         Err(error) => return Completion::Failed(error.to_string()),
     };
@@ -406,15 +406,17 @@
     };
     if let Completion::Results(results) = &completion {
         let results: Vec<Name> = results.iter().cloned().filter_map(Result::ok).collect();
-        if batcher
-            .queue
-            .borrow_mut()
-            .is_repeated(&call.server, &results)
-        {
+        let mut queue = batcher.queue.borrow_mut();
+        // A connection may idle while others carry more calls than the queue remembers.
+        if queue.is_repeated(&call.server, &results) || lease.is_repeated(&body) {
             // The answer to this call may follow, so the connection is closed.
             return Completion::Failed("answer to an earlier call".to_string());
         }
-        lease.finish();
+        // Nothing tells an answer without results from a late copy of another one, so the next call isn't sent on
+        // this connection, where a copy may follow.
+        if !results.is_empty() {
+            lease.finish();
+        }
     }
     completion
 }
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -120,9 +120,12 @@
         return;
     };
     let timeout = Duration::from_millis(FREE_TIMEOUT_MS);
+    // These answers are empty, so that one of another call can't be told from them: they have connections of their
+    // own.
+    let peer: Name = format!("free {server}").into();
     let exchange = gateway
         .pool
-        .exchange(&server, holder, request, MAX_ANSWER_BYTES);
+        .exchange(&peer, holder, request, MAX_ANSWER_BYTES);
     // Servers drop results after a time of their own, so a failed call only delays the release of
     // their space.
     let exchanged = tokio::time::timeout(timeout, exchange).await;
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -37,6 +37,7 @@
     net, //
 };
 use crate::{
+    core::gateway::balance::hash_bytes,
     edges::gateway::Call,
     names::Name,
     time::Instant, //
@@ -91,6 +92,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     budget: Budget,
+    // Hash of the last answer that was checked for being a copy.
+    last_answer: Option<u64>,
 }
 
 struct IdleConnection {
@@ -169,6 +172,16 @@
 }
 
 impl Lease {
+    /// Returns whether the body of the answer is that of the last one on this connection, and remembers it. For
+    /// answers that don't name their request, but differ from each other.
+    pub fn is_repeated(&mut self, body: &[u8]) -> bool {
+        let Some(connection) = &mut self.connection else {
+            return false;
+        };
+        let hash = hash_bytes(&[body]);
+        connection.last_answer.replace(hash) == Some(hash)
+    }
+
     /// Returns the connection to the pool after its response was read completely.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -300,6 +313,7 @@
             sender,
             task: task.abort_handle(),
             budget,
+            last_answer: None,
         })
     }
 
@@ -347,6 +361,7 @@
                 mut sender,
                 task,
                 budget,
+                last_answer,
             } = match reused {
                 Some(connection) => connection,
                 None => self.open(peer, address, max_open).await?,
@@ -369,6 +384,7 @@
                         sender,
                         task,
                         budget,
+                        last_answer,
                     });
                     return Ok((response, lease));
                 }
