--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -42,8 +42,14 @@
 };
 use crate::core::gateway::lookup;
 
+mod delivery;
 mod slow_head;
 
+pub(super) use delivery::Connections;
+use delivery::{
+    Connection,
+    finish, //
+};
 use slow_head::{
     Monitor,
     MonitoredStream, //
@@ -180,8 +186,12 @@
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
     let head_ms = limits.map_or(DEFAULT_HEAD_MS, |limits| limits.head_timeout_ms);
     let monitor = Monitor::new();
+    let caller = Connection::new(stream);
+    let is_caller = purpose == Purpose::Callers;
+    let _listed = is_caller.then(|| gateway.callers.insert(&caller));
     let service = service_fn(|request| {
         let gateway = gateway.clone();
+        caller.record_request();
         let _guard = monitor.record_head();
         async move {
             let response = answer(gateway, purpose, from, request).await;
@@ -189,7 +199,7 @@
         }
     });
     let monitored = MonitoredStream {
-        stream,
+        connection: caller.clone(),
         monitor: monitor.clone(),
     };
     let connection = http1::Builder::new()
@@ -200,17 +210,23 @@
         .serve_connection(TokioIo::new(monitored), service);
     tokio::pin!(connection);
     let mut draining = gateway.draining.subscribe();
-    let is_caller = purpose == Purpose::Callers;
     tokio::select! {
         // The error of a caller's connection isn't reported.
-        _ = connection.as_mut() => return,
+        _ = connection.as_mut() => {
+            if is_caller {
+                finish(&caller).await;
+            }
+            return;
+        }
         () = monitor.wait_for_slow_head(head_ms) => {
             return gateway.log.write(&Event::SlowHead { from });
         }
         _ = draining.wait_for(|draining| *draining && is_caller) => {}
     }
     connection.as_mut().graceful_shutdown();
+    // Only the connections of callers are drained.
     let _ = connection.await;
+    finish(&caller).await;
 }
 
 async fn answer(
--- a/src/shell/gateway/front/slow_head.rs
+++ b/src/shell/gateway/front/slow_head.rs
@@ -27,10 +27,10 @@
         AsyncWrite,
         ReadBuf, //
     },
-    net::TcpStream,
     sync::Notify,
 };
 
+use super::delivery::Connection;
 use crate::shell::gateway::forward::{
     Body,
     Truncated, //
@@ -66,6 +66,10 @@
         })
     }
 
+    fn is_busy(&self) -> bool {
+        self.phase.get() == Phase::Busy
+    }
+
     fn record_bytes(&self) {
         if self.phase.get() == Phase::Idle {
             self.head_count.set(self.head_count.get() + 1);
@@ -132,20 +136,21 @@
     }
 }
 
-/// A connection whose reads are reported to a monitor.
+/// A connection whose reads are reported to a monitor, and which records when all is written.
 pub(super) struct MonitoredStream {
-    pub(super) stream: TcpStream,
+    pub(super) connection: Rc<Connection>,
     pub(super) monitor: Rc<Monitor>,
 }
 
 impl AsyncRead for MonitoredStream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let mut stream = self.connection.stream.borrow_mut();
+        let poll = Pin::new(&mut *stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
             self.monitor.record_bytes();
         }
@@ -155,30 +160,35 @@
 
 impl AsyncWrite for MonitoredStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        Pin::new(&mut *self.connection.stream.borrow_mut()).poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+        Pin::new(&mut *self.connection.stream.borrow_mut()).poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.connection.stream.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Pin::new(&mut *self.connection.stream.borrow_mut()).poll_flush(cx);
+        // The library flushes a connection once its own buffer is empty.
+        if matches!(poll, Poll::Ready(Ok(()))) && !self.monitor.is_busy() {
+            self.connection.record_flush();
+        }
+        poll
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.connection.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -96,6 +96,8 @@
         step: &'static str,
         /// Running requests.
         running: usize,
+        /// Connections with responses that their callers don't have completely.
+        undelivered: usize,
     },
     /// The settings were reloaded.
     Reload {
@@ -379,8 +381,13 @@
             Event::Start { host, data_centre } => {
                 slog::info!(log, "start"; "host" => %host, "data_centre" => %data_centre);
             }
-            Event::Stop { step, running } => {
-                slog::info!(log, "stop"; "step" => step, "running" => running);
+            Event::Stop {
+                step,
+                running,
+                undelivered,
+            } => {
+                slog::info!(log, "stop"; "step" => step, "running" => running,
+                    "undelivered" => undelivered);
             }
             Event::Reload { error } => match error {
                 None => slog::info!(log, "reload"),
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -127,6 +127,7 @@
     store: store::State,
     /// Key with which other hosts seal their messages to this host.
     key: OnceCell<Key>,
+    callers: front::Connections,
     /// Number of running requests.
     running: Cell<usize>,
     /// Bytes of buffered request bodies.
@@ -275,6 +276,7 @@
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
         key: OnceCell::new(),
+        callers: front::Connections::default(),
         running: Cell::default(),
         buffered_bytes: Cell::default(),
         leaving_since: Cell::default(),
@@ -333,8 +335,8 @@
     }
 }
 
-/// Drains the host: stops accepting callers, and returns once no request runs or the grace period
-/// ends.
+/// Drains the host: stops accepting callers, and returns once no request runs and the callers have their responses,
+/// or the grace period ends.
 async fn drain(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     gateway.leaving_since.set(Some(now));
@@ -342,6 +344,7 @@
     gateway.log.write(&Event::Stop {
         step: "leaving",
         running,
+        undelivered: gateway.callers.undelivered(),
     });
     let grace_ms = gateway.options.borrow().bounds.grace_ms;
     let deadline = now.after_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
@@ -350,7 +353,7 @@
     let _ = gateway.draining.send(true);
     while gateway.now() < deadline {
         let lingered = gateway.now().since_ms(now) >= LINGER_MS;
-        if lingered && gateway.running.get() == 0 {
+        if lingered && gateway.running.get() == 0 && gateway.callers.undelivered() == 0 {
             break;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -358,6 +361,7 @@
     gateway.log.write(&Event::Stop {
         step: "end",
         running: gateway.running.get(),
+        undelivered: gateway.callers.undelivered(),
     });
     // Lets the log's thread write its last lines.
     tokio::time::sleep(Duration::from_millis(30)).await;
