--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -8,7 +8,9 @@
 };
 
 use super::{
-    cache, limits, quota, rate,
+    cache, limits,
+    pause::Wait,
+    quota, rate,
     servers::{
         self,
         Server, //
@@ -68,6 +70,8 @@
     /// Number of requests that this host may send to a server in a window of [`limits`], if the
     /// server names a rate.
     pub named_share: &'a dyn Fn(&Server) -> Option<u64>,
+    /// Why a server gets no request now, if it asked this host for a pause.
+    pub pause: &'a dyn Fn(&Server) -> Option<Wait>,
 }
 
 /// Why no server was selected.
@@ -83,6 +87,10 @@
     /// may send a request, in milliseconds, unless it has no share of any.
     #[error("all servers are at the rates that they name")]
     Limited(Option<u64>),
+    /// All usable servers asked this host for a pause. With the time until the first of them ends, in
+    /// milliseconds.
+    #[error("all servers asked for a pause")]
+    Paused(u64),
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -152,12 +160,25 @@
         let mut has_candidate = false;
         let mut is_limited = false;
         let mut wait_ms: Option<u64> = None;
+        let mut pause_ms: Option<u64> = None;
         let preferred = self.preferred_server(table, request, is_allowed, is_local_region);
         for server in table.usable(request.service) {
             if !is_allowed(server) || request.tried.contains(&server.entry.id) {
                 continue;
             }
             let id = &server.entry.id;
+            match (request.pause)(server) {
+                None => {}
+                Some(Wait::Paused(ms)) => {
+                    pause_ms = pause_ms.into_iter().chain([ms]).min();
+                    continue;
+                }
+                // The trial ends within a second.
+                Some(Wait::Trial) => {
+                    has_candidate = true;
+                    continue;
+                }
+            }
             if let Some(share) = (request.named_share)(server) {
                 let wait = self.named_limiter.wait_ms(now, id, share);
                 if wait != Some(0) {
@@ -218,7 +239,9 @@
             return Err(if has_candidate {
                 Error::Full
             } else if is_limited {
-                Error::Limited(wait_ms)
+                Error::Limited(wait_ms.into_iter().chain(pause_ms).min())
+            } else if let Some(pause_ms) = pause_ms {
+                Error::Paused(pause_ms)
             } else {
                 Error::NoServer
             });
--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -93,6 +93,8 @@
     calls: u32,
     busy_until: Instant,
     backoff_until: Instant,
+    // End of the pause that the server asked this host for.
+    paused_until: Instant,
     reserved_bytes: u64,
     // Estimated bytes of results that this host didn't create, and when the estimate expires.
     untracked: (u64, Instant),
@@ -119,6 +121,8 @@
     waiting: BTreeMap<Ticket, Piece>,
     servers: HashMap<Name, Server>,
     next_ticket: u64,
+    // Whether all servers of the service asked this host for a pause.
+    is_paused: bool,
 }
 
 impl Queue {
@@ -145,8 +149,21 @@
         self.waiting.is_empty()
     }
 
+    /// Records until when a server is paused, `now` or earlier if it isn't.
+    pub fn record_pause(&mut self, server: &Name, until: Instant) {
+        if let Some(server) = self.servers.get_mut(server) {
+            server.paused_until = until;
+        }
+    }
+
+    /// Records whether all servers of the service are paused, also those that this host doesn't use now.
+    pub fn set_paused(&mut self, is_paused: bool) {
+        self.is_paused = is_paused;
+    }
+
     /// Removes and returns the pieces that can't meet their deadline, and removes expired results
-    /// from the accounting of servers.
+    /// from the accounting of servers. While all servers are paused, these are the pieces that can't meet their
+    /// objective: their callers are refused with the time at which a pause ends.
     ///
     /// A piece expires as soon as the calls ahead of it leave no time for it, so that its caller is
     /// refused immediately and not at the deadline.
@@ -164,7 +181,12 @@
                 continue;
             };
             let done_ms = schedule.next_end_ms().unwrap_or(schedule.single_piece_ms());
-            if now.after_ms(done_ms + piece.remaining_ms) > piece.deadline {
+            let limit = if self.is_paused {
+                piece.objective.min(piece.deadline)
+            } else {
+                piece.deadline
+            };
+            if now.after_ms(done_ms + piece.remaining_ms) > limit {
                 expired.push(ticket);
             } else {
                 schedule.push();
@@ -209,7 +231,8 @@
             };
             let busy_ms = server.busy_until.since_ms(now);
             let busy_ms = if server.calls > 0 { busy_ms } else { 0 };
-            busy_ms.max(server.backoff_until.since_ms(now))
+            let unusable_until = server.backoff_until.max(server.paused_until);
+            busy_ms.max(unusable_until.since_ms(now))
         };
         servers.iter().map(available_in).collect()
     }
@@ -243,7 +266,8 @@
     /// Returns the free result memory of a server in bytes, or `None` if it can't take a call now.
     fn available_bytes(&self, now: Instant, stages: &Stages, name: &str) -> Option<u64> {
         if let Some(server) = self.servers.get(name)
-            && (server.calls >= stages.slots.max(1) || now < server.backoff_until)
+            && (server.calls >= stages.slots.max(1)
+                || now < server.backoff_until.max(server.paused_until))
         {
             return None;
         }
--- a/src/core/gateway/dispatch.rs
+++ b/src/core/gateway/dispatch.rs
@@ -172,6 +172,8 @@
             max_running: u32::MAX,
             local_hosts: 1,
             named_share,
+            // Servers that asked for a pause are excluded, or not among those that `is_own` selects.
+            pause: &|_| None,
         };
         let is_local: &dyn Fn(&Server) -> bool = &|_| true;
         match self.balancer.place(now, table, &request, is_own, is_local) {
@@ -192,7 +194,7 @@
             }
             Err(balance::Error::Full) => Reply::Full,
             Err(balance::Error::Limited(wait_ms)) => Reply::Limited(wait_ms),
-            Err(balance::Error::NoServer) => Reply::NoServer,
+            Err(balance::Error::NoServer | balance::Error::Paused(_)) => Reply::NoServer,
         }
     }
 
--- a/src/shell/gateway/datagrams/assignments.rs
+++ b/src/shell/gateway/datagrams/assignments.rs
@@ -27,7 +27,8 @@
     names::Name,
     shell::gateway::{
         Gateway,
-        limits, //
+        limits,
+        pauses, //
     },
     time::Instant,
 };
@@ -205,14 +206,28 @@
         return Reply::NoServer;
     };
     let factor = gateway.options.borrow().bounds.cold_factor;
-    gateway.dispatcher.borrow_mut().ask(
+    let skipped = Cell::new(false);
+    let reply = gateway.dispatcher.borrow_mut().ask(
         gateway.now(),
         &gateway.servers.borrow(),
         question,
         service.cold_requests_per_s * factor,
         &|server| limits::dispatcher_share(gateway, server),
-        &|server| gateway.region_of(&server.entry.data_centre) == gateway.identity.region,
-    )
+        &|server| {
+            if gateway.region_of(&server.entry.data_centre) != gateway.identity.region {
+                return false;
+            }
+            // A server that is overloaded by the requests of this host has no room for those of others.
+            let is_paused = pauses::is_paused(gateway, &server.entry);
+            skipped.set(skipped.get() || is_paused);
+            !is_paused
+        },
+    );
+    match reply {
+        // The servers that paused this host may take requests of the one that asks, which assigns them itself.
+        Reply::NoServer if skipped.get() => Reply::NotReady,
+        reply => reply,
+    }
 }
 
 /// Answers the question of another host.
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -23,8 +23,12 @@
             Ask,
             Grant, //
         },
+        pause::Wait,
         retry::Outcome,
-        servers::Entry, //
+        servers::{
+            Entry,
+            Server, //
+        },
     },
     names::Name,
     shell::gateway::{
@@ -39,6 +43,7 @@
             Event,
             Progress, //
         },
+        pauses,
         quarantines,
         upstream, //
     },
@@ -136,7 +141,8 @@
     }
 
     /// Waits until a server can take the request, and takes a slot there.
-    pub(super) async fn assign(&self) -> Result<Slot, Error> {
+    pub(super) async fn assign(&self, is_resumed: bool) -> Result<Slot, Error> {
+        let mut has_waited = false;
         loop {
             if quarantines::find(&self.gateway, &self.content).is_some() {
                 return Err(self.quarantined());
@@ -153,10 +159,28 @@
                 {
                     tokio::time::sleep(Duration::from_millis(FULL_RETRY_MS)).await;
                 }
+                Err(balance::Error::Paused(wait_ms)) if self.may_await(wait_ms, is_resumed) => {
+                    if !std::mem::replace(&mut has_waited, true) {
+                        pauses::count(&self.gateway, &self.service, "waited");
+                        self.gateway.log.write(&Event::AwaitsPause {
+                            request: &self.id,
+                            service: &self.service,
+                            left_ms: wait_ms,
+                        });
+                    }
+                    // A server that starts meanwhile isn't paused.
+                    let step_ms = wait_ms.clamp(1, FULL_RETRY_MS);
+                    tokio::time::sleep(Duration::from_millis(step_ms)).await;
+                }
                 // More requests than the servers take wait for the next one, and few can get it.
                 Err(error) => {
-                    if let balance::Error::Limited(wait_ms) = error {
-                        self.retry_after_ms.set(wait_ms);
+                    match error {
+                        balance::Error::Limited(wait_ms) => self.retry_after_ms.set(wait_ms),
+                        balance::Error::Paused(wait_ms) => {
+                            pauses::count(&self.gateway, &self.service, "refused");
+                            self.retry_after_ms.set(Some(wait_ms));
+                        }
+                        balance::Error::NoServer | balance::Error::Full => {}
                     }
                     self.is_exhausted.set(true);
                     return Err(Error {
@@ -170,6 +194,48 @@
         }
     }
 
+    /// Returns whether the request may wait for a pause that ends in `wait_ms`: if it can meet the objective of its
+    /// route after that. The caller of a stream that is resumed has waited already, and waits until its deadline.
+    fn may_await(&self, wait_ms: u64, is_resumed: bool) -> bool {
+        let gateway = &self.gateway;
+        let objective = self.arrived.after_ms(self.route.objective_ms);
+        let limit = if is_resumed {
+            self.deadline
+        } else {
+            objective.min(self.deadline)
+        };
+        let durations = gateway.durations.borrow();
+        let run_ms = durations.mean_ms(&self.service, EXPECTED_RUN_MS);
+        gateway.now().after_ms(wait_ms + run_ms) <= limit
+    }
+
+    /// Returns the time until a server of a service may get a request, in milliseconds, if all that the request may
+    /// use asked for a pause.
+    pub(super) fn pause_ms(&self, service: &str) -> Option<u64> {
+        let servers = self.gateway.servers.borrow();
+        let usable = servers.usable(service);
+        let allowed = usable.filter(|server| self.is_allowed(&server.entry.data_centre));
+        match pauses::wait_of_all(&self.gateway, allowed)? {
+            Wait::Paused(ms) => Some(ms),
+            Wait::Trial => None,
+        }
+    }
+
+    /// Fails if all servers that may get the request asked for a pause, so that no dispatcher is asked.
+    fn check_paused(&self) -> Result<(), balance::Error> {
+        let tried = self.tried.borrow();
+        let servers = self.gateway.servers.borrow();
+        let usable = servers.usable(&self.service);
+        let untried = usable.filter(|server| {
+            self.is_allowed(&server.entry.data_centre) && !tried.contains(&server.entry.id)
+        });
+        match pauses::wait_of_all(&self.gateway, untried) {
+            None => Ok(()),
+            Some(Wait::Paused(ms)) => Err(balance::Error::Paused(ms)),
+            Some(Wait::Trial) => Err(balance::Error::Full),
+        }
+    }
+
     /// Returns the failure of an attempt at a request that was quarantined while it waited for a server.
     pub(super) fn quarantined(&self) -> Error {
         self.is_exhausted.set(true);
@@ -211,6 +277,7 @@
         if !self.has_untried_server() {
             return Err(balance::Error::NoServer);
         }
+        self.check_paused()?;
         let preferred = self.region.borrow().clone();
         let mut regions: Vec<Name> = gateway.overview().dispatchers.keys().cloned().collect();
         regions.sort_by_key(|region| *region != preferred);
@@ -237,8 +304,8 @@
     }
 
     /// Asks the dispatchers of a region until one grants a server to which the request may be sent. They
-    /// count as silent if they only grant servers that this host knows to be leaving or gone: the store may
-    /// not answer them.
+    /// count as silent if they only grant servers that this host knows to be leaving, gone or paused: the store may
+    /// not answer them, and pauses are known to this host alone.
     async fn ask_region(&self, region: &Name) -> Answer {
         let gateway = &self.gateway;
         let mut declined = Vec::new();
@@ -253,7 +320,8 @@
                 Answer::Granted(grant, lease) => (grant, lease),
                 answer => return answer,
             };
-            if self.usable_entry(&grant.server).is_some() {
+            let entry = self.usable_entry(&grant.server);
+            if entry.is_some_and(|entry| pauses::wait(gateway, &entry).is_none()) {
                 return Answer::Granted(grant, lease);
             }
             lease.complete(gateway, false);
@@ -276,6 +344,12 @@
         let max_running = u32::try_from(max_running).unwrap_or(u32::MAX);
         let mut excluded = declined.to_vec();
         excluded.extend(self.tried.borrow().iter().cloned());
+        let paused = |server: &&Server| pauses::wait(gateway, &server.entry).is_some();
+        if !gateway.pauses.borrow().is_empty() {
+            let servers = gateway.servers.borrow();
+            let servers = servers.usable(&self.service).filter(paused);
+            excluded.extend(servers.map(|server| server.entry.id.clone()));
+        }
         excluded.extend(gateway.balancer.borrow().at_limit(max_running));
         let servers = gateway.servers.borrow();
         let unusable = servers.unusable(&self.service);
@@ -325,6 +399,7 @@
             max_running: u32::try_from(max_running).unwrap_or(u32::MAX),
             local_hosts: overview.local_hosts,
             named_share: &|server| limits::share(gateway, server, &overview.group, is_dispatched),
+            pause: &|server| pauses::wait(gateway, &server.entry),
         };
         let assignment = gateway.balancer.borrow_mut().place(
             now,
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -155,6 +155,8 @@
     deadline: Instant,
     may_have_run: Cell<bool>,
     attempts: Cell<u32>,
+    /// Whether the retry budget counts the request.
+    is_counted: Cell<bool>,
     stages_ms: Cell<u64>,
     tried: RefCell<Vec<Name>>,
     results: Results,
@@ -274,6 +276,7 @@
         deadline,
         may_have_run: Cell::default(),
         attempts: Cell::default(),
+        is_counted: Cell::default(),
         stages_ms: Cell::default(),
         tried: RefCell::default(),
         results: Results {
@@ -362,7 +365,8 @@
     /// Returns the refusal for a request that no server takes now.
     fn refusal(&self, reason: String) -> Refusal {
         let mut refusal = Refusal::not_run(reason);
-        if let Some(ms) = self.retry_after_ms.get() {
+        let pause_ms = || self.pause_ms(&self.service);
+        if let Some(ms) = self.retry_after_ms.get().or_else(pause_ms) {
             refusal.retry_after_s = Some(ms as f64 / 1_000.0);
         }
         refusal
--- a/src/shell/gateway/forward/pipeline.rs
+++ b/src/shell/gateway/forward/pipeline.rs
@@ -94,6 +94,9 @@
             let seconds = remaining_ms as f64 / 1_000.0 / RETRY_AFTER_DIVISOR;
             refusal.retry_after_s = Some(seconds.max(DEFAULT_RETRY_AFTER_S));
         }
+        if let Some(ms) = self.pause_ms(&self.route.stages[stage].service) {
+            refusal.retry_after_s = Some(ms as f64 / 1_000.0);
+        }
         refusal
     }
 
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -35,9 +35,11 @@
         departures,
         limits,
         log::Progress,
+        pauses,
         quarantines,
         upstream::Lease, //
     },
+    time::Instant,
 };
 
 /// Maximum size of a response that isn't a stream, in bytes.
@@ -48,6 +50,7 @@
     pub(super) response: Response<Incoming>,
     pub(super) lease: Lease,
     pub(super) sent_unix_ms: u64,
+    pub(super) sent_at: Instant,
 }
 
 impl Exchange {
@@ -84,6 +87,8 @@
             ));
         }
         departures::observe(&self.gateway, entry, status, response.headers());
+        let sent_at = received.sent_at;
+        pauses::observe(&self.gateway, entry, sent_at, status, response.headers());
         // Another server than the one expected answers 421.
         if status.as_u16() != 421 {
             let sent = received.sent_unix_ms;
@@ -117,6 +122,7 @@
             response,
             lease,
             sent_unix_ms,
+            sent_at: _,
         } = received;
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -34,12 +34,13 @@
             Event,
             Progress, //
         },
-        quarantines,
+        pauses, quarantines,
         upstream::{
             self,
             Reuse, //
         },
     },
+    time::Instant,
 };
 
 /// Longest idle time of a connection that may carry a request which must run only once, in
@@ -63,16 +64,43 @@
 impl Exchange {
     /// Sends the request to one server. `resume` is the event id after which a stream resumes.
     pub(super) async fn attempt(&self, resume: Option<u64>) -> Result<Answer, Error> {
-        let slot = self.assign().await?;
-        let server = slot.server();
-        if quarantines::find(&self.gateway, &self.content).is_some() {
-            // No server may get it, and the slot is released.
-            return Err(self.quarantined());
+        loop {
+            let slot = self.assign(resume.is_some()).await?;
+            if quarantines::find(&self.gateway, &self.content).is_some() {
+                // No server may get it, and the slot is released.
+                return Err(self.quarantined());
+            }
+            if let Some(result) = self.attempt_at(slot, resume).await {
+                return result;
+            }
         }
-        self.tried.borrow_mut().push(server.clone());
+    }
+
+    /// Sends the request to the server of a slot. Returns `None` if it was held back, since the server asked for a
+    /// pause after it was selected: that is no attempt.
+    async fn attempt_at(&self, slot: Slot, resume: Option<u64>) -> Option<Result<Answer, Error>> {
+        let server = slot.server();
         let entry = self.usable_entry(&server);
+        let sent_at = match &entry {
+            Some(entry) => pauses::claim(&self.gateway, entry)?,
+            None => self.gateway.now(),
+        };
+        self.tried.borrow_mut().push(server.clone());
         let sent_unix_ms = clock::unix_ms();
-        let result = self.send(slot, entry.as_ref(), resume).await;
+        let sent = self.send(slot, entry.as_ref(), sent_at, resume).await;
+        if let (Ok(None), Some(entry)) = (&sent, &entry) {
+            pauses::count(&self.gateway, &entry.service, "held_back");
+        }
+        let is_paused = |entry: &Entry| pauses::is_paused(&self.gateway, entry);
+        let is_not_run = match &sent {
+            Ok(answer) => answer.is_none(),
+            Err(failure) => failure.outcome == Outcome::NotRun,
+        };
+        if is_not_run && entry.as_ref().is_some_and(is_paused) {
+            // It didn't fail the request, which may run there after the pause.
+            self.tried.borrow_mut().retain(|tried| *tried != server);
+        }
+        let result = sent.transpose()?;
         if let Err(failure) = &result {
             if failure.outcome == Outcome::Lost
                 && let Some(entry) = entry
@@ -97,15 +125,16 @@
                 ms: self.elapsed_ms(),
             });
         }
-        result
+        Some(result)
     }
 
     async fn send(
         &self,
         slot: Slot,
         entry: Option<&Entry>,
+        sent_at: Instant,
         resume: Option<u64>,
-    ) -> Result<Answer, Error> {
+    ) -> Result<Option<Answer>, Error> {
         let server = slot.server();
         let failure = |outcome: Outcome, reason: String| Error {
             outcome,
@@ -125,7 +154,7 @@
             Reuse::IdleAtMost(MAX_ONCE_IDLE_MS)
         };
         self.attempts.set(self.attempts.get().saturating_add(1));
-        if self.attempts.get() == 1 {
+        if !self.is_counted.replace(true) {
             let now = self.gateway.now();
             self.gateway
                 .budget
@@ -146,6 +175,7 @@
                 request,
                 reuse,
                 self.max_connections(hosts),
+                &|| pauses::is_paused(&self.gateway, entry),
             )
             .await;
         let (response, lease) = match sent {
@@ -155,6 +185,11 @@
                 slot.release(true);
                 return Err(failure(Outcome::NotSent, reason));
             }
+            Err(upstream::Error::HeldBack) => {
+                self.may_have_run.set(may_have_run_before);
+                self.attempts.set(self.attempts.get().saturating_sub(1));
+                return Ok(None);
+            }
             Err(upstream::Error::Lost(reason)) => {
                 slot.release(true);
                 return Err(failure(Outcome::Lost, reason));
@@ -164,9 +199,11 @@
             response,
             lease,
             sent_unix_ms,
+            sent_at,
         };
         self.receive(slot, entry, reply, may_have_run_before, resume)
             .await
+            .map(Some)
     }
 
     pub(super) fn request(
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -225,6 +225,33 @@
         /// Whether this host knows the server, which then is leaving or drained.
         is_known: bool,
     },
+    /// A server asked this host for a pause.
+    Pause {
+        /// The server.
+        server: &'a Name,
+        /// Its service.
+        service: &'a Name,
+        /// Duration that it asked for, in milliseconds.
+        asked_ms: u64,
+        /// Time until the pause ends, with the jitter of this host, in milliseconds.
+        left_ms: u64,
+        /// Time since its request was sent, in milliseconds.
+        answer_ms: u64,
+    },
+    /// A server asked for a pause with a value that isn't a number of seconds. Logged once for each start.
+    MalformedPause {
+        /// The server.
+        server: &'a Name,
+    },
+    /// A request waits until the first pause of the servers of its service ends.
+    AwaitsPause {
+        /// The request.
+        request: &'a str,
+        /// Its service.
+        service: &'a Name,
+        /// Time until the pause ends, in milliseconds.
+        left_ms: u64,
+    },
     /// An attempt at a server failed.
     Failed {
         /// The request.
@@ -431,6 +458,17 @@
             Event::Host { name, serving } => {
                 slog::info!(log, "host"; "name" => %name, "serving" => serving);
             }
+            Event::Pause {
+                server,
+                service,
+                asked_ms,
+                left_ms,
+                answer_ms,
+            } => slog::info!(log, "pause"; "server" => %server, "service" => %service,
+                "asked_ms" => asked_ms, "left_ms" => left_ms, "answer_ms" => answer_ms),
+            Event::MalformedPause { server } => {
+                slog::warn!(log, "malformed pause"; "server" => %server);
+            }
             request => self.write_request(request),
         }
     }
@@ -464,6 +502,12 @@
                 is_known,
             } => slog::info!(log, "grant declined"; "request" => request, "server" => %server,
                 "dispatcher" => %dispatcher, "known" => is_known),
+            Event::AwaitsPause {
+                request,
+                service,
+                left_ms,
+            } => slog::info!(log, "awaits pause"; "request" => request, "service" => %service,
+                "left_ms" => left_ms),
             Event::Failed {
                 request,
                 content,
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -33,6 +33,8 @@
     pub declined_grants: Counter<u64>,
     /// Servers that announced in an answer that they leave.
     pub departures: Counter<u64>,
+    /// Pauses that servers asked for, and requests held back or refused for them, by service and event.
+    pub pauses: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
 }
@@ -57,6 +59,7 @@
             crashes: counter("gateway_crashes"),
             declined_grants: counter("gateway_declined_grants"),
             departures: counter("gateway_departures"),
+            pauses: counter("gateway_pauses"),
             store_calls: counter("gateway_store_calls"),
             exporter,
         })
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -37,6 +37,7 @@
         hosts,
         limits as rates,
         mac::Key,
+        pause,
         plan,
         quarantine,
         rate::Limiter,
@@ -67,6 +68,7 @@
 mod metrics;
 mod net;
 mod overview;
+mod pauses;
 mod peers;
 mod quarantines;
 mod stages;
@@ -121,6 +123,7 @@
     spillover: RefCell<spillover::Table>,
     quarantine: RefCell<quarantine::Table>,
     limits: RefCell<rates::Table>,
+    pauses: RefCell<pause::Table>,
     // Counts calls with pieces for the rates that servers name.
     stage_limiter: RefCell<Limiter>,
     pool: Rc<upstream::Pool>,
@@ -172,6 +175,7 @@
         self.balancer.borrow_mut().forget(id);
         self.dispatcher.borrow_mut().forget(id);
         self.stage_limiter.borrow_mut().forget(id);
+        self.pauses.borrow_mut().forget(id);
     }
 
     /// Returns the registration of a server if requests may be sent to it, by what this host knows at this
@@ -272,6 +276,7 @@
         spillover: RefCell::default(),
         quarantine: RefCell::default(),
         limits: RefCell::default(),
+        pauses: RefCell::default(),
         stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
@@ -310,6 +315,7 @@
         gateway.pool.close_expired();
         quarantines::expire(&gateway);
         gateway.limits.borrow_mut().expire(clock::unix_ms());
+        gateway.pauses.borrow_mut().expire(now);
         stages::tick(&gateway);
     }
 }
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -24,7 +24,7 @@
 use crate::shell::gateway::{
     Gateway, SERVER_UNUSABLE, clock, departures, limits,
     log::Event,
-    peers,
+    pauses, peers,
     upstream::{
         self,
         Reuse, //
@@ -43,6 +43,7 @@
             Role,
             Stages, //
         },
+        pause::Wait,
         servers::Server,
     },
     edges::{
@@ -160,6 +161,7 @@
     };
     let now = gateway.now();
     let servers = eligible_servers(gateway, &batcher.service);
+    record_pauses(gateway, batcher, &servers);
     let expired = batcher.queue.borrow_mut().expire(now, &stages, &servers);
     for ticket in expired {
         complete_piece(gateway, batcher, ticket, Err(Failure::Late));
@@ -180,13 +182,34 @@
     }
 }
 
-/// Returns the servers that may get a call now, by the rates that they name.
+/// Tells the queue how long the servers are paused, and whether no server of the service may get a call.
+fn record_pauses(gateway: &Gateway, batcher: &Batcher, servers: &[Name]) {
+    let now = gateway.now();
+    let table = gateway.servers.borrow();
+    let mut queue = batcher.queue.borrow_mut();
+    for id in servers {
+        let server = table.get(id);
+        let wait = server.and_then(|server| pauses::wait(gateway, &server.entry));
+        let paused_ms = match wait {
+            Some(Wait::Paused(ms)) => ms,
+            Some(Wait::Trial) | None => 0,
+        };
+        queue.record_pause(id, now.after_ms(paused_ms));
+    }
+    let wait = pauses::wait_of_all(gateway, table.usable(&batcher.service));
+    queue.set_paused(matches!(wait, Some(Wait::Paused(_))));
+}
+
+/// Returns the servers that may get a call now, by the rates that they name and the pauses that they asked for.
 fn servers_below_rate(gateway: &Gateway, servers: &[Name]) -> Vec<Name> {
     let now = gateway.now();
     let table = gateway.servers.borrow();
     let limiter = gateway.stage_limiter.borrow();
     let is_below = |id: &&Name| {
         let server = table.get(id);
+        if server.is_some_and(|server| pauses::wait(gateway, &server.entry).is_some()) {
+            return false;
+        }
         let share = server.and_then(|server| limits::stage_share(gateway, server));
         share.is_none_or(|share| limiter.wait_ms(now, id, share) == Some(0))
     };
@@ -253,6 +276,8 @@
 pub(super) enum Completion {
     Results(Vec<Result<Name, Failure>>),
     NotRun(&'static str),
+    /// Not sent, since its server asked for a pause meanwhile.
+    HeldBack,
     Failed(String),
 }
 
@@ -281,6 +306,7 @@
     let (outcome, failed) = match &completion {
         Completion::Results(_) => ("done", false),
         Completion::NotRun(reason) => (*reason, true),
+        Completion::HeldBack => (pauses::HELD_BACK, false),
         Completion::Failed(reason) => (reason.as_str(), true),
     };
     gateway.metrics.batch_pieces.record(
@@ -303,6 +329,8 @@
         Completion::NotRun(_) | Completion::Failed(_) => {
             vec![Err(Failure::Failed); call.pieces.len()]
         }
+        // Queued again without an attempt, like pieces for which a server lacked space.
+        Completion::HeldBack => vec![Err(Failure::NoRoom); call.pieces.len()],
     };
     let handles: Vec<Option<Name>> = results.iter().cloned().map(Result::ok).collect();
     let outcome = if failed {
@@ -356,6 +384,9 @@
     let Some(entry) = gateway.usable_entry(&call.server) else {
         return Completion::NotRun(SERVER_UNUSABLE);
     };
+    let Some(sent_at) = pauses::claim(gateway, &entry) else {
+        return Completion::HeldBack;
+    };
     let address = entry.address;
     let sent_unix_ms = clock::unix_ms();
     let pieces: Vec<(&Piece, u64)> = call
@@ -372,17 +403,22 @@
     let Some(request) = request else {
         return Completion::NotRun("no request");
     };
+    let is_held_back = || pauses::is_paused(gateway, &entry);
     let sent = gateway.pool.send(
         &call.server,
         address,
         request,
         Reuse::Any,
-        upstream::UNLIMITED, //
+        upstream::UNLIMITED,
+        &is_held_back, //
     );
     let (response, mut lease) = match sent.await {
         Ok(sent) => sent,
+        Err(upstream::Error::HeldBack) => return Completion::HeldBack,
         Err(error) => return Completion::Failed(error.to_string()),
     };
+    let (status, headers) = (response.status(), response.headers());
+    pauses::observe(gateway, &entry, sent_at, status, headers);
     departures::observe(gateway, &entry, response.status(), response.headers());
     let status = response.status().as_u16();
     // Another server than the one expected answers 421.
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -17,6 +17,7 @@
 use crate::shell::gateway::{
     Gateway,
     departures,
+    pauses,
     peers, //
 };
 
@@ -115,6 +116,14 @@
     if gateway.limits.borrow().is_limited(&server) {
         return;
     }
+    // It drops them if it asked for a pause, too.
+    let sent_at = match &entry {
+        Some(entry) => match pauses::claim(gateway, entry) {
+            Some(sent_at) => sent_at,
+            None => return,
+        },
+        None => gateway.now(),
+    };
     let call = gateway.adapter.free_results(results);
     let Some(request) = request(gateway, &server, holder, call) else {
         return;
@@ -123,13 +132,23 @@
     // These answers are empty, so that one of another call can't be told from them: they have connections of their
     // own.
     let peer: Name = format!("free {server}").into();
-    let exchange = gateway
-        .pool
-        .exchange(&peer, holder, request, MAX_ANSWER_BYTES);
+    let is_held_back = || {
+        let entry = entry.as_ref();
+        entry.is_some_and(|entry| pauses::is_paused(gateway, entry))
+    };
+    let exchange = gateway.pool.exchange_unless(
+        &peer,
+        holder,
+        request,
+        MAX_ANSWER_BYTES,
+        &is_held_back, //
+    );
     // Servers drop results after a time of their own, so a failed call only delays the release of
     // their space.
     let exchanged = tokio::time::timeout(timeout, exchange).await;
-    if let (Ok(Ok(response)), Some(entry)) = (exchanged, entry) {
-        departures::observe(gateway, &entry, response.status(), response.headers());
+    if let (Ok(Ok(response)), Some(entry)) = (exchanged, &entry) {
+        let (status, headers) = (response.status(), response.headers());
+        departures::observe(gateway, entry, status, headers);
+        pauses::observe(gateway, entry, sent_at, status, headers);
     }
 }
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -75,6 +75,9 @@
     /// The request was sent, and the connection ended or timed out.
     #[error("lost: {0}")]
     Lost(String),
+    /// Nothing of the request left this host, since the peer must not get it any more.
+    #[error("held back")]
+    HeldBack,
 }
 
 /// Which connections a request may use.
@@ -329,9 +332,33 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        self.exchange_unless(peer, address, request, max_bytes, &|| false)
+            .await
+    }
+
+    /// Like [`Self::exchange`], unless `is_held_back` holds when the connection is open: see [`Self::send`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error`], also where the response is truncated or larger.
+    pub async fn exchange_unless(
+        self: &Rc<Self>,
+        peer: &Name,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        is_held_back: &dyn Fn() -> bool,
     ) -> Result<Response<Bytes>, Error> {
         let (response, lease) = self
-            .send(peer, address, request, Reuse::Any, UNLIMITED)
+            .send(
+                peer,
+                address,
+                request,
+                Reuse::Any,
+                UNLIMITED,
+                is_held_back, //
+            )
             .await?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
@@ -343,6 +370,9 @@
     /// Sends a request and returns its response with the body unread. Idle connections to the peer
     /// are closed where more than `max_open` would be open.
     ///
+    /// `is_held_back` is asked just before the request is handed to a connection, since opening one takes up to
+    /// [`CONNECT_MS`]: the peer may have asked for a pause meanwhile.
+    ///
     /// # Errors
     ///
     /// [`Error`], which tells whether anything of the request left this host.
@@ -353,6 +383,7 @@
         mut request: Request<Full<Bytes>>,
         reuse: Reuse,
         max_open: usize,
+        is_held_back: &dyn Fn() -> bool,
     ) -> Result<(Response<Incoming>, Lease), Error> {
         loop {
             let reused = self.take(peer, reuse);
@@ -375,6 +406,9 @@
                 keep_ms: 0,
             };
             let abort = AbortOnDrop(Some(task));
+            if is_held_back() {
+                return Err(Error::HeldBack);
+            }
             budget.start();
             match sender.try_send_request(request).await {
                 Ok(response) => {
--- a/tests/core/gateway/balance.rs
+++ b/tests/core/gateway/balance.rs
@@ -9,8 +9,12 @@
             Request,
             Segment, //
         },
+        pause::Wait,
         quota::Group,
-        servers::Table, //
+        servers::{
+            Server,
+            Table, //
+        },
     },
     names::Name,
     time::Instant,
@@ -49,6 +53,7 @@
         max_running: 1_000,
         local_hosts: 1,
         named_share: &|_| None,
+        pause: &|_| None,
     }
 }
 
@@ -174,8 +179,7 @@
     let mut table = table(&["s1"]);
     table.update(at(0), &"far".into(), Some(entry("far", "llm", "b")), false);
     let mut balancer = Balancer::default();
-    let is_allowed =
-        |server: &teaselchute::core::gateway::servers::Server| &*server.entry.data_centre == "b";
+    let is_allowed = |server: &Server| &*server.entry.data_centre == "b";
     let placed = balancer.place(at(0), &table, &request(&[], &[]), &is_allowed, &|_| true);
     assert_eq!(placed.map(|placed| placed.server), Ok("far".into()));
 }
@@ -197,3 +201,29 @@
     balancer.complete(at(10), first, false);
     assert!(place(&mut balancer, at(10), &table, &request).is_ok());
 }
+
+/// Pauses that servers asked for exclude them. A request waits where one is on trial, and is told the first end
+/// where all are paused.
+#[test]
+fn place_beside_pauses() {
+    let table = table(&["a", "b"]);
+    let mut balancer = Balancer::default();
+    let placed = |balancer: &mut Balancer, waits: [Option<Wait>; 2]| {
+        let pause = |server: &Server| waits[usize::from(&*server.entry.id != "a")];
+        let request = Request {
+            pause: &pause,
+            ..request(&[], &[])
+        };
+        let placed = place(balancer, at(0), &table, &request);
+        placed.map(|assignment| assignment.server)
+    };
+    let paused = |ms| Some(Wait::Paused(ms));
+    for _ in 0..10 {
+        let server = placed(&mut balancer, [paused(500), None]);
+        assert_eq!(server, Ok("b".into()));
+    }
+    let all = placed(&mut balancer, [paused(500), paused(200)]);
+    assert_eq!(all, Err(Error::Paused(200)));
+    let on_trial = placed(&mut balancer, [paused(500), Some(Wait::Trial)]);
+    assert_eq!(on_trial, Err(Error::Full));
+}
--- a/tests/core/gateway/batch.rs
+++ b/tests/core/gateway/batch.rs
@@ -3,7 +3,8 @@
         Call,
         Outcome,
         Piece,
-        Queue, //
+        Queue,
+        Ticket, //
     },
     names::Name,
 };
@@ -313,3 +314,44 @@
     assert!(!queue.is_repeated(&server, &[]), "no piece has a result");
     assert!(!queue.is_repeated(&server, &[]));
 }
+
+/// A paused server gets no call, and pieces go to the other one. While all are paused, pieces that can't meet their
+/// objective are given up at once, and the others wait.
+#[test]
+fn next_call_beside_pauses() {
+    let mut queue = Queue::default();
+    let servers = names(&["s1", "s2"]);
+    let call = |queue: &mut Queue, ms| queue.next_call(at(ms), &STAGES, &servers);
+    // Both have run a call.
+    let mut calls = Vec::new();
+    for request in ["a", "b"] {
+        queue.enqueue(piece(request, 0));
+        calls.push(call(&mut queue, 0).expect("a server is free"));
+    }
+    for (index, call) in calls.iter().enumerate() {
+        let results = results(call, &format!("r{index}"));
+        queue.complete_call(at(200), &STAGES, call, ran(&results));
+    }
+    queue.record_pause(&"s1".into(), at(1_000));
+    queue.enqueue(piece("c", 300));
+    let other = call(&mut queue, 300).expect("one is free");
+    assert_eq!(&*other.server, "s2");
+    queue.enqueue(piece("d", 300));
+    assert!(call(&mut queue, 300).is_none(), "the free one is paused");
+    let failed = Outcome::Failed;
+    queue.complete_call(at(300), &STAGES, &other, failed);
+    queue.cancel(Ticket(3));
+    queue.record_pause(&"s2".into(), at(3_000));
+    queue.set_paused(true);
+    // The pause ends in 700 ms. A call takes 210 ms, and the later stages 100 ms.
+    let soon = queue.enqueue(piece("e", 300));
+    let mut later = piece("f", 300);
+    later.objective = at(3_000);
+    let later = queue.enqueue(later);
+    let expired = queue.expire(at(300), &STAGES, &servers);
+    assert_eq!(expired, [soon], "its objective is at 1,300 ms");
+    assert!(call(&mut queue, 300).is_none());
+    queue.set_paused(false);
+    let next = call(&mut queue, 1_000).expect("the first pause is over");
+    assert_eq!(next.pieces[0].0, later);
+}
--- a/tests/core/gateway/dispatch.rs
+++ b/tests/core/gateway/dispatch.rs
@@ -134,6 +134,7 @@
             max_running: 5,
             local_hosts: 49,
             named_share: &|_| None,
+            pause: &|_| None,
         };
         let placed: Result<Assignment, _> =
             hosts[*host].place(at(*at_ms), &table, &request, &is_any, &is_any);
--- a/tests/core/gateway/limits.rs
+++ b/tests/core/gateway/limits.rs
@@ -236,6 +236,7 @@
             max_running: 1_000,
             local_hosts: 1,
             named_share: &|server| table.share(unix(ms), &server.entry, &alone, 100),
+            pause: &|_| None,
         };
         let placed = balancer.place(at(ms), servers, &request, &|_| true, &|_| true);
         placed.map(|assignment| assignment.server.to_string())
