--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -37,6 +37,7 @@
         hosts,
         limits as rates,
         mac::Key,
+        pause,
         plan,
         quarantine,
         rate::Limiter,
@@ -67,6 +68,7 @@
 mod metrics;
 mod net;
 mod overview;
+mod pauses;
 mod peers;
 mod quarantines;
 mod stages;
@@ -121,12 +123,14 @@
     spillover: RefCell<spillover::Table>,
     quarantine: RefCell<quarantine::Table>,
     limits: RefCell<rates::Table>,
+    pauses: RefCell<pause::Table>,
     // Counts calls with pieces for the rates that servers name.
     stage_limiter: RefCell<Limiter>,
     pool: Rc<upstream::Pool>,
     store: store::State,
     /// Key with which other hosts seal their messages to this host.
     key: OnceCell<Key>,
+    callers: front::Connections,
     /// Number of running requests.
     running: Cell<usize>,
     /// Bytes of buffered request bodies.
@@ -171,6 +175,7 @@
         self.balancer.borrow_mut().forget(id);
         self.dispatcher.borrow_mut().forget(id);
         self.stage_limiter.borrow_mut().forget(id);
+        self.pauses.borrow_mut().forget(id);
     }
 
     /// Returns the registration of a server if requests may be sent to it, by what this host knows at this
@@ -271,10 +276,12 @@
         spillover: RefCell::default(),
         quarantine: RefCell::default(),
         limits: RefCell::default(),
+        pauses: RefCell::default(),
         stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
         key: OnceCell::new(),
+        callers: front::Connections::default(),
         running: Cell::default(),
         buffered_bytes: Cell::default(),
         leaving_since: Cell::default(),
@@ -308,6 +315,7 @@
         gateway.pool.close_expired();
         quarantines::expire(&gateway);
         gateway.limits.borrow_mut().expire(clock::unix_ms());
+        gateway.pauses.borrow_mut().expire(now);
         stages::tick(&gateway);
     }
 }
@@ -333,8 +341,8 @@
     }
 }
 
-/// Drains the host: stops accepting callers, and returns once no request runs or the grace period
-/// ends.
+/// Drains the host: stops accepting callers, and returns once no request runs and the callers have their responses,
+/// or the grace period ends.
 async fn drain(gateway: &Rc<Gateway>) {
     let now = gateway.now();
     gateway.leaving_since.set(Some(now));
@@ -342,6 +350,7 @@
     gateway.log.write(&Event::Stop {
         step: "leaving",
         running,
+        undelivered: gateway.callers.undelivered(),
     });
     let grace_ms = gateway.options.borrow().bounds.grace_ms;
     let deadline = now.after_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
@@ -350,7 +359,7 @@
     let _ = gateway.draining.send(true);
     while gateway.now() < deadline {
         let lingered = gateway.now().since_ms(now) >= LINGER_MS;
-        if lingered && gateway.running.get() == 0 {
+        if lingered && gateway.running.get() == 0 && gateway.callers.undelivered() == 0 {
             break;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
@@ -358,6 +367,7 @@
     gateway.log.write(&Event::Stop {
         step: "end",
         running: gateway.running.get(),
+        undelivered: gateway.callers.undelivered(),
     });
     // Lets the log's thread write its last lines.
     tokio::time::sleep(Duration::from_millis(30)).await;
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -37,6 +37,7 @@
     net, //
 };
 use crate::{
+    core::gateway::balance::hash_bytes,
     edges::gateway::Call,
     names::Name,
     time::Instant, //
@@ -74,6 +75,9 @@
     /// The request was sent, and the connection ended or timed out.
     #[error("lost: {0}")]
     Lost(String),
+    /// Nothing of the request left this host, since the peer must not get it any more.
+    #[error("held back")]
+    HeldBack,
 }
 
 /// Which connections a request may use.
@@ -91,6 +95,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     budget: Budget,
+    // Hash of the last answer that was checked for being a copy.
+    last_answer: Option<u64>,
 }
 
 struct IdleConnection {
@@ -169,6 +175,16 @@
 }
 
 impl Lease {
+    /// Returns whether the body of the answer is that of the last one on this connection, and remembers it. For
+    /// answers that don't name their request, but differ from each other.
+    pub fn is_repeated(&mut self, body: &[u8]) -> bool {
+        let Some(connection) = &mut self.connection else {
+            return false;
+        };
+        let hash = hash_bytes(&[body]);
+        connection.last_answer.replace(hash) == Some(hash)
+    }
+
     /// Returns the connection to the pool after its response was read completely.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -300,6 +316,7 @@
             sender,
             task: task.abort_handle(),
             budget,
+            last_answer: None,
         })
     }
 
@@ -315,9 +332,33 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        self.exchange_unless(peer, address, request, max_bytes, &|| false)
+            .await
+    }
+
+    /// Like [`Self::exchange`], unless `is_held_back` holds when the connection is open: see [`Self::send`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error`], also where the response is truncated or larger.
+    pub async fn exchange_unless(
+        self: &Rc<Self>,
+        peer: &Name,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        is_held_back: &dyn Fn() -> bool,
     ) -> Result<Response<Bytes>, Error> {
         let (response, lease) = self
-            .send(peer, address, request, Reuse::Any, UNLIMITED)
+            .send(
+                peer,
+                address,
+                request,
+                Reuse::Any,
+                UNLIMITED,
+                is_held_back, //
+            )
             .await?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
@@ -329,6 +370,9 @@
     /// Sends a request and returns its response with the body unread. Idle connections to the peer
     /// are closed where more than `max_open` would be open.
     ///
+    /// `is_held_back` is asked just before the request is handed to a connection, since opening one takes up to
+    /// [`CONNECT_MS`]: the peer may have asked for a pause meanwhile.
+    ///
     /// # Errors
     ///
     /// [`Error`], which tells whether anything of the request left this host.
@@ -339,6 +383,7 @@
         mut request: Request<Full<Bytes>>,
         reuse: Reuse,
         max_open: usize,
+        is_held_back: &dyn Fn() -> bool,
     ) -> Result<(Response<Incoming>, Lease), Error> {
         loop {
             let reused = self.take(peer, reuse);
@@ -347,6 +392,7 @@
                 mut sender,
                 task,
                 budget,
+                last_answer,
             } = match reused {
                 Some(connection) => connection,
                 None => self.open(peer, address, max_open).await?,
@@ -360,6 +406,9 @@
                 keep_ms: 0,
             };
             let abort = AbortOnDrop(Some(task));
+            if is_held_back() {
+                return Err(Error::HeldBack);
+            }
             budget.start();
             match sender.try_send_request(request).await {
                 Ok(response) => {
@@ -369,6 +418,7 @@
                         sender,
                         task,
                         budget,
+                        last_answer,
                     });
                     return Ok((response, lease));
                 }
