--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod rate;
 pub mod recent;
 pub mod retry;
+pub mod rollout;
 pub mod servers;
 pub mod spillover;
 pub mod stream;
