--- a/src/core/gateway/rollout/judgement.rs
+++ b/src/core/gateway/rollout/judgement.rs
@@ -1,8 +1,52 @@
 //! Judgement of a version by its answers, compared with those of the other versions.
 
-use super::evidence::Evidence;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use super::evidence::{
+    Cells,
+    Evidence,
+    Pair,
+    Time, //
+};
 use crate::names::Name;
 
+/// Number of answers of the target, in total and of each route with a considerable part of them, at which
+/// a bad share of 10% shows with 99% power. Measured by `judge_power_at_enough_answers`.
+pub const ENOUGH: u64 = 160;
+
+/// Probability of a difference by chance for which a version is bad, for all tests of a repeated look
+/// together. Looks at growing evidence depend on each other, so that few of them count as separate ones.
+const REPEATED_LEVEL: f64 = 2e-4;
+
+/// The same for the last look. A bad version that is promoted costs about as much as a good one that is
+/// reverted, so one look may err more often than each of many.
+const LAST_LEVEL: f64 = 1e-3;
+
+/// Probability by chance of the difference that remains without the worst moments. Otherwise the
+/// difference may be one crash of a server, whose answers fail together.
+const REST_LEVEL: f64 = 1e-3;
+
+/// Fractions of the other versions' answers that are slower than the limit of a test of latency. Faults
+/// in a part of the answers show in the tail; servers of uneven speeds of all versions are within it.
+const SLOW_FRACTIONS: [f64; 3] = [0.1, 0.03, 0.01];
+
+/// Number of buckets by which an answer of the target must exceed the limit to count as slow, a factor of
+/// 1.4. Bad versions are several times slower, and somewhat slower ones aren't bad.
+const SLOW_BUCKETS: u8 = 2;
+
+/// Minimum part of the target's answers for which a route is judged by itself.
+const ROUTE_PART: u64 = 20;
+
+/// Fraction of the time that is judged by itself as its newest part, for faults that begin later.
+const NEWEST_PART: u16 = 3;
+
+/// Number of standard deviations below which the probability of a difference isn't computed. All levels
+/// above need more.
+const MIN_DEVIATIONS: f64 = 2.0;
+
 /// Number of known bad answers of the target at which a host stops by itself. Callers tolerate 50 before
 /// the time of the rollback starts.
 pub const STOP_BAD: u64 = 40;
@@ -65,15 +109,288 @@
 
 /// Judges the target of an order.
 pub fn judge(evidence: &Evidence, look: Look) -> Verdict {
-    _ = (evidence, look);
-    Verdict::Undecided {
-        answers: 0,
-        good: 0,
+    let cells = evidence.cells();
+    if let Some(reason) = find_difference(&cells, look) {
+        return Verdict::Bad(reason);
+    }
+    let target = cells.values().map(|pair| &pair.target);
+    let (mut answers, mut failed) = (0, 0);
+    for cell in target {
+        answers += cell.answers;
+        failed += cell.failed;
+    }
+    let others: u64 = cells.values().map(|pair| pair.others.answers).sum();
+    let routes = routes(&cells);
+    let major = routes
+        .values()
+        .filter(|count| *count * ROUTE_PART >= answers);
+    let has_enough = answers.min(others) >= ENOUGH && major.into_iter().all(|&it| it >= ENOUGH);
+    if has_enough {
+        Verdict::Sound
+    } else {
+        Verdict::Undecided {
+            answers,
+            good: answers - failed,
+        }
     }
 }
 
 /// Returns why a host must stop requests to the target without waiting for the decider, if it must.
 pub fn must_stop(evidence: &Evidence) -> Option<Reason> {
-    _ = evidence;
+    let cells = evidence.cells();
+    let bad = known_bad(&cells);
+    if bad < STOP_BAD {
+        return None;
+    }
+    find_difference(&cells, Look::Repeated)
+}
+
+/// Returns the number of the target's answers by route.
+fn routes(cells: &Cells) -> BTreeMap<&Name, u64> {
+    let mut routes = BTreeMap::new();
+    for ((route, _), pair) in cells {
+        *routes.entry(route).or_default() += pair.target.answers;
+    }
+    routes
+}
+
+/// Returns the number of the target's answers that are failures or slower than nearly all answers of
+/// other versions.
+fn known_bad(cells: &Cells) -> u64 {
+    let rarest = SLOW_FRACTIONS[SLOW_FRACTIONS.len() - 1];
+    let selected: Vec<_> = cells.iter().collect();
+    let limits = limits(&selected, rarest);
+    let bad = selected.iter().map(|((route, _), pair)| {
+        let slow = limits.get(route).map_or(0, |&limit| slow(pair, limit).bad);
+        pair.target.failed + slow
+    });
+    bad.sum()
+}
+
+type Selected<'a> = (&'a (Name, Time), &'a Pair);
+
+/// Returns the first significant difference to the disadvantage of the target.
+fn find_difference(cells: &Cells, look: Look) -> Option<Reason> {
+    let routes = routes(cells);
+    let answers: u64 = routes.values().sum();
+    let major = routes
+        .iter()
+        .filter(|&(_, &count)| count > 0 && count * ROUTE_PART >= answers);
+    let mut scopes = vec![None];
+    scopes.extend(major.map(|(&route, _)| Some(route)));
+    let newest_from = newest_from(cells);
+    let tests = scopes.len() * 2 * (1 + SLOW_FRACTIONS.len());
+    let level = match look {
+        Look::Repeated => REPEATED_LEVEL,
+        Look::Last => LAST_LEVEL,
+    };
+    let level = level / tests as f64;
+    // With so many bad answers, waiting for others costs more than an error.
+    let is_urgent = known_bad(cells) >= STOP_BAD;
+    for route in scopes {
+        for from in [0, newest_from] {
+            let selected: Vec<Selected<'_>> = cells
+                .iter()
+                .filter(|((name, time), _)| {
+                    let is_in_time = match *time {
+                        Time::UpTo(_) => from == 0,
+                        Time::Slice(slice) => slice >= from,
+                    };
+                    is_in_time && route.is_none_or(|route| route == name)
+                })
+                .collect();
+            let failures: Vec<Table> = selected.iter().map(|cell| failures(cell)).collect();
+            let difference = |tables: &[Table]| compare(tables, level, is_urgent, route);
+            if let Some(difference) = difference(&failures) {
+                return Some(Reason::Failures(difference));
+            }
+            for fraction in SLOW_FRACTIONS {
+                let limits = limits(&selected, fraction);
+                let latencies: Vec<Table> = selected
+                    .iter()
+                    .filter_map(|((route, time), pair)| {
+                        let table = slow(pair, *limits.get(route)?);
+                        Some(Table {
+                            time: *time,
+                            ..table
+                        })
+                    })
+                    .collect();
+                if let Some(difference) = difference(&latencies) {
+                    return Some(Reason::Latency(difference));
+                }
+            }
+        }
+    }
     None
 }
+
+/// Returns the first slice of the newest part of the time.
+fn newest_from(cells: &Cells) -> u16 {
+    let times: BTreeSet<Time> = cells.keys().map(|(_, time)| *time).collect();
+    let newest = times.iter().filter_map(|time| match *time {
+        Time::Slice(slice) => Some(slice),
+        Time::UpTo(_) => None,
+    });
+    let newest = newest.max().unwrap_or(0);
+    newest - newest / NEWEST_PART
+}
+
+/// Answers of both versions of a route and a time.
+#[derive(Clone, Copy, Debug)]
+struct Table {
+    time: Time,
+    bad: u64,
+    answers: u64,
+    others_bad: u64,
+    others: u64,
+}
+
+fn failures(((_, time), pair): &Selected<'_>) -> Table {
+    Table {
+        time: *time,
+        bad: pair.target.failed,
+        answers: pair.target.answers,
+        others_bad: pair.others.failed,
+        others: pair.others.answers,
+    }
+}
+
+/// Counts slow answers. Those of the target must exceed the limit by far.
+fn slow(pair: &Pair, limit: u8) -> Table {
+    Table {
+        time: Time::Slice(0),
+        bad: pair.target.above(limit.saturating_add(SLOW_BUCKETS)),
+        answers: pair.target.timed(),
+        others_bad: pair.others.above(limit),
+        others: pair.others.timed(),
+    }
+}
+
+/// Returns the latency above which there is a fraction of the other versions' answers, by route.
+fn limits<'a>(selected: &[Selected<'a>], fraction: f64) -> BTreeMap<&'a Name, u8> {
+    let mut others: BTreeMap<&Name, Pair> = BTreeMap::new();
+    for ((route, _), pair) in selected {
+        others.entry(route).or_default().others += &pair.others;
+    }
+    let limits = others.into_iter().filter_map(|(route, pair)| {
+        let limit = pair.others.quantile(fraction)?;
+        Some((route, limit))
+    });
+    limits.collect()
+}
+
+/// Returns the difference between the versions if it is significant.
+fn compare(
+    tables: &[Table],
+    level: f64,
+    is_urgent: bool,
+    route: Option<&Name>,
+) -> Option<Difference> {
+    let probability = probability(tables);
+    if probability > level {
+        return None;
+    }
+    if !is_urgent {
+        let rest = without_worst(tables);
+        if self::probability(&rest) > REST_LEVEL {
+            return None;
+        }
+    }
+    let mut difference = Difference {
+        route: route.cloned(),
+        target: Count::default(),
+        others: Count::default(),
+        probability,
+    };
+    for table in tables {
+        difference.target.answers += table.answers;
+        difference.target.bad += table.bad;
+        difference.others.answers += table.others;
+        difference.others.bad += table.others_bad;
+    }
+    Some(difference)
+}
+
+/// Leaves out the slice with most bad answers of the target, and the worse of its neighbours, since a
+/// burst may span the end of a slice.
+fn without_worst(tables: &[Table]) -> Vec<Table> {
+    let mut bad: BTreeMap<u16, u64> = BTreeMap::new();
+    for table in tables {
+        if let Time::Slice(slice) = table.time {
+            *bad.entry(slice).or_default() += table.bad;
+        }
+    }
+    let count = |slice: u16| bad.get(&slice).copied().unwrap_or(0);
+    let pairs = bad
+        .keys()
+        .map(|&slice| (slice, slice.saturating_add(1)))
+        .max_by_key(|&(first, second)| count(first) + count(second));
+    let Some((first, second)) = pairs else {
+        return tables.to_vec();
+    };
+    let is_kept =
+        |table: &&Table| table.time != Time::Slice(first) && table.time != Time::Slice(second);
+    tables.iter().filter(is_kept).copied().collect()
+}
+
+/// Returns the probability that the target has as many bad answers or more if each bad answer is equally
+/// likely at each request of the same route and time: the exact test of two proportions, stratified.
+fn probability(tables: &[Table]) -> f64 {
+    let (mut observed, mut mean, mut variance) = (0, 0.0, 0.0);
+    let mut informative = Vec::new();
+    for table in tables {
+        let (answers, others) = (table.answers as f64, table.others as f64);
+        let (all, bad) = (answers + others, (table.bad + table.others_bad) as f64);
+        if answers == 0.0 || others == 0.0 || bad == 0.0 {
+            continue;
+        }
+        observed += table.bad;
+        mean += bad * answers / all;
+        variance += bad * answers * others * (all - bad) / (all * all * (all - 1.0).max(1.0));
+        informative.push(table);
+    }
+    if observed as f64 <= mean + MIN_DEVIATIONS * variance.sqrt() {
+        return 1.0;
+    }
+    // Probabilities of 0, 1, .. bad answers, up to one less than observed.
+    let length = observed as usize;
+    let mut fewer = vec![1.0];
+    for table in informative {
+        let single = hypergeometric(table);
+        let mut sum = vec![0.0; (fewer.len() + single.len() - 1).min(length)];
+        for (i, left) in fewer.iter().enumerate() {
+            for (j, right) in single.iter().enumerate().take(length - i) {
+                sum[i + j] += left * right;
+            }
+        }
+        fewer = sum;
+    }
+    (1.0 - fewer.iter().sum::<f64>()).max(0.0)
+}
+
+/// Returns the probabilities of 0, 1, .. bad answers of the target if the bad answers are drawn from all.
+fn hypergeometric(table: &Table) -> Vec<f64> {
+    let (answers, others) = (table.answers, table.others);
+    let bad = table.bad + table.others_bad;
+    let (min, max) = (bad.saturating_sub(others), bad.min(answers));
+    // Ratio of the probabilities of `count + 1` and `count`.
+    let ratio = |count: u64| {
+        let ways = (bad - count) as f64 * (answers - count) as f64;
+        ways / ((count + 1) as f64 * (others + count + 1 - bad) as f64)
+    };
+    // The largest weight is 1, so that none overflows.
+    let mode = (bad + 1) as f64 * (answers + 1) as f64 / (answers + others + 2) as f64;
+    let mode = (mode as u64).clamp(min, max);
+    let mut weights = vec![0.0; max as usize + 1];
+    weights[mode as usize] = 1.0;
+    for count in mode..max {
+        weights[count as usize + 1] = weights[count as usize] * ratio(count);
+    }
+    for count in (min..mode).rev() {
+        weights[count as usize] = weights[count as usize + 1] / ratio(count);
+    }
+    let sum: f64 = weights.iter().sum();
+    weights.iter_mut().for_each(|weight| *weight /= sum);
+    weights
+}
