--- a/src/core/gateway/rollout/decider.rs
+++ b/src/core/gateway/rollout/decider.rs
@@ -464,8 +464,11 @@
         }
         match self.phase {
             Phase::Canary if is_collected => self.end_trial(now),
-            // Hundreds of hosts confirm, so this isn't checked for each message.
-            Phase::Promoting if is_tick => self.is_complete |= self.is_confirmed(now),
+            // Hundreds of hosts confirm, so this isn't checked for each message. Confirmations may become
+            // void until the state is written.
+            Phase::Promoting if is_tick => {
+                self.is_complete = self.cause == Some(Cause::Alone) || self.is_confirmed(now);
+            }
             _ => {}
         }
     }
@@ -551,8 +554,9 @@
             return Some(Action::Read);
         };
         if state == State::Completed {
-            let lost = self.completion.filter(|it| it.is_lost);
-            self.completion = lost.or(Some(Completion { at, is_lost: false }));
+            let earlier = self.completion.filter(|it| it.at == at);
+            let is_lost = earlier.is_some_and(|it| it.is_lost);
+            self.completion = Some(Completion { at, is_lost });
         }
         self.call = Some((Call::Write(state), now));
         Some(Action::Write { state, at })
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod rate;
 mod recent;
 mod retry;
+mod rollout;
 mod servers;
 mod spillover;
 mod stream;
