--- a/src/core/gateway/rollout/decider.rs
+++ b/src/core/gateway/rollout/decider.rs
@@ -189,7 +189,7 @@
     Overdue,
     /// The order was deleted.
     Withdrawn,
-    /// The store has the state, written by this host earlier or by another one.
+    /// The store has the state, which another decider wrote.
     Stored,
 }
 
@@ -358,8 +358,8 @@
                 let status = status.filter(|(_, target)| *target == self.order.target);
                 match status.map(|(state, _)| state) {
                     Some(State::InProgress) => self.has_status = true,
-                    Some(State::Completed) => self.store(Phase::Completed, Cause::Stored),
-                    Some(State::Reverted) => self.store(Phase::Reverted, Cause::Stored),
+                    Some(State::Completed) => self.store(Phase::Completed),
+                    Some(State::Reverted) => self.store(Phase::Reverted),
                     None => self.has_status = false,
                 }
             }
@@ -391,8 +391,8 @@
                 self.offset = Some(end_offset);
                 match state {
                     State::InProgress => self.has_status = true,
-                    State::Completed => self.store(Phase::Completed, Cause::Stored),
-                    State::Reverted => self.store(Phase::Reverted, Cause::Stored),
+                    State::Completed => self.store(Phase::Completed),
+                    State::Reverted => self.store(Phase::Reverted),
                 }
             }
             (_, Ending::Conflict | Ending::Written { .. }) => self.offset = None,
@@ -415,12 +415,16 @@
     }
 
     /// Adopts the final state that the store has.
-    fn store(&mut self, phase: Phase, cause: Cause) {
+    fn store(&mut self, phase: Phase) {
         if self.is_written {
             return;
         }
-        if self.phase != phase {
-            self.cause = Some(cause);
+        let is_own = match phase {
+            Phase::Completed => self.phase == Phase::Promoting && self.is_complete,
+            _ => self.phase == phase,
+        };
+        if !is_own {
+            self.cause = Some(Cause::Stored);
         }
         (self.phase, self.is_written) = (phase, true);
     }
