--- a/src/core/gateway/rollout/decider.rs
+++ b/src/core/gateway/rollout/decider.rs
@@ -115,6 +115,8 @@
         /// no such server again unless the order is reverted.
         in_flight_old: u64,
     },
+    /// A host sends nothing to the target since another decider announced [`Phase::Reverted`].
+    HostReverted,
     /// The hosts of the deployment, each with its start.
     HostsChanged {
         /// Those that are alive, the deciding host included.
@@ -189,6 +191,8 @@
     Overdue,
     /// The order was deleted.
     Withdrawn,
+    /// Another decider announced it.
+    Announced,
     /// The store has the state, which another decider wrote.
     Stored,
 }
@@ -378,6 +382,12 @@
                     self.enter(Phase::Reverted, Cause::Withdrawn);
                 }
             }
+            // Its evidence may be lost, and hosts that reverted never confirm.
+            Event::HostReverted => {
+                if self.phase != Phase::Reverted {
+                    self.enter(Phase::Reverted, Cause::Announced);
+                }
+            }
             Event::OrderReplaced => self.is_replaced = true,
         }
     }
--- a/tests/core/gateway/rollout/decider.rs
+++ b/tests/core/gateway/rollout/decider.rs
@@ -535,6 +535,20 @@
     }
 }
 
+// Guards against a rollout that never ends since hosts that heard of a reversal don't confirm.
+#[test]
+fn step_host_reverted_reverts() {
+    let mut store = Store::new();
+    let mut run = Run::new(DURATION_MS);
+    run.rate = 350;
+    run.hosts.insert("host-2".into(), Host::Stuck);
+    run.run(&mut store, 0, 7_000);
+    run.step(7_000, &mut store, Event::HostReverted);
+    run.run(&mut store, 7_000, 7_500);
+    assert_eq!(store.finals(), [State::Reverted]);
+    assert_eq!(run.decider.cause(), Some(&Cause::Announced));
+}
+
 // Guards against an order that changes the state after it is final.
 #[test]
 fn step_final_state_stays() {
@@ -556,6 +570,18 @@
     run.step(1_000, &mut store, Event::OrderReplaced);
     run.run(&mut store, 1_000, DURATION_MS);
     assert!(store.finals().is_empty());
+
+    // The reversal waits for the store.
+    let mut store = Store::new();
+    let mut run = Run::new(DURATION_MS);
+    run.run(&mut store, 0, 1_000);
+    store.mode = Mode::Down;
+    run.step(1_000, &mut store, Event::OrderGone);
+    run.run(&mut store, 1_050, 2_000);
+    run.step(2_000, &mut store, Event::OrderReplaced);
+    store.mode = Mode::Up;
+    run.run(&mut store, 2_000, DURATION_MS);
+    assert!(store.finals().is_empty());
 }
 
 // Guards against the state of an earlier order for another version that is taken for this one's.
@@ -637,6 +663,27 @@
     }
 }
 
+// Guards against a bad version that is promoted since few answers aren't enough for a repeated look.
+#[test]
+fn step_last_look_reverts() {
+    let mut store = Store::new();
+    let mut run = Run::new(DURATION_MS);
+    for second in 0..6 {
+        for i in 0..10 {
+            let answer = Answer {
+                failed: i == 0,
+                ms: None,
+            };
+            let sent_at = after(second * 1_000);
+            run.evidence.record(sent_at, &"/a".into(), i < 2, answer);
+        }
+    }
+    run.run(&mut store, 0, 5_900);
+    assert_eq!(run.decider.phase().0, Phase::Canary);
+    run.run(&mut store, 5_900, 7_000);
+    assert_eq!(store.finals(), [State::Reverted]);
+}
+
 // Guards against a version of which callers got nothing but failures, too few for a comparison.
 #[test]
 fn step_no_good_answer_reverts() {
--- a/tests/core/gateway/rollout/evidence.rs
+++ b/tests/core/gateway/rollout/evidence.rs
@@ -103,7 +103,7 @@
 fn record_is_bounded() {
     let mut evidence = Evidence::open(window(&order("v2", 3_600_000, 1)));
     for second in 0..3_600 {
-        let route = format!("/{}", second % 50).into();
+        let route = format!("/{}", second % 500).into();
         evidence.record(after(second * 1_000), &route, true, GOOD);
     }
     let cells = evidence.cells();
--- a/tests/core/gateway/rollout/versions.rs
+++ b/tests/core/gateway/rollout/versions.rs
@@ -117,6 +117,17 @@
     assert_eq!(permissions(&versions, 300), (Any, Trial));
 }
 
+// Guards against a version that gets nothing for ever since an earlier order for it was reverted.
+#[test]
+fn set_order_allows_reverted_version_again() {
+    let mut versions = ordered();
+    versions.adopt(after(200), 1, Phase::Reverted, true);
+    versions.set_order(after(300), Some(&order("v2", 12_000, 2)));
+    versions.adopt(after(400), 2, Phase::Completed, true);
+    versions.set_order(after(500), None);
+    assert_eq!(permissions(&versions, 5_000), (Barred, Any));
+}
+
 // Guards against the order of a version that nothing but it could serve.
 #[test]
 fn set_order_target_alone_serves() {
