--- a/src/core/gateway/rollout/decider.rs
+++ b/src/core/gateway/rollout/decider.rs
@@ -512,8 +512,12 @@
             return;
         }
         let (earliest, latest) = self.trial_end();
-        if now >= earliest && self.verdict == Some(Verdict::Sound) {
-            return self.enter(Phase::Promoting, Cause::Sound);
+        let is_new = self.judged_at == Some(now);
+        if now >= earliest && is_new && self.verdict == Some(Verdict::Sound) {
+            // A fault that just began looks like a burst. The rest of the trial tells.
+            if judgement::judge(&self.evidence, Look::Early) == Verdict::Sound {
+                return self.enter(Phase::Promoting, Cause::Sound);
+            }
         }
         if now < latest {
             return;
--- a/src/core/gateway/rollout/judgement.rs
+++ b/src/core/gateway/rollout/judgement.rs
@@ -73,6 +73,8 @@
 pub enum Look {
     /// Again and again while answers arrive.
     Repeated,
+    /// Before a version is promoted early. What may be a burst or the beginning of a fault counts.
+    Early,
     /// Once, at the end of the time for trials, when a version is promoted unless it is bad.
     Last,
 }
@@ -198,6 +200,7 @@
     let tests = scopes.len() * 2 * (1 + SLOW_FRACTIONS.len());
     let (level, rest_level) = match look {
         Look::Repeated => (REPEATED_LEVEL, REPEATED_REST_LEVEL),
+        Look::Early => (LAST_LEVEL, 1.0),
         Look::Last => (LAST_LEVEL, LAST_REST_LEVEL),
     };
     let level = level / tests as f64;
--- a/src/core/gateway/rollout/ledger.rs
+++ b/src/core/gateway/rollout/ledger.rs
@@ -53,6 +53,10 @@
     deadline: Instant,
     ratio: f64,
     share: u64,
+    // Fraction of a request by which the host is ahead. Hundreds of hosts that each wait until a whole
+    // request is earned would send nearly none. The fractions are spread evenly over the hosts, so that the
+    // sum is as if all hosts counted together.
+    advance: f64,
     sent: u64,
     sent_to_target: u64,
 }
@@ -67,16 +71,19 @@
         origin: Origin,
     ) -> Self {
         let shared = (bounds.exposure_tolerance as f64 * TOLERANCE_USED) as u64;
-        let share = match origin {
-            Origin::Running => group
-                .share(shared, &order.service)
-                .min(shared / MIN_HOSTS + 1),
-            Origin::Started => 0,
+        let (share, advance) = match origin {
+            Origin::Running => {
+                let share = group.share(shared, &order.service);
+                let advance = (rank(group, &order.service) as f64 + 0.5) / group.size() as f64;
+                (share.min(shared / MIN_HOSTS + 1), advance)
+            }
+            Origin::Started => (0, 0.0),
         };
         Self {
             deadline: window.deadline,
             ratio: bounds.exposure_ratio * RATIO_USED,
             share,
+            advance,
             sent: 0,
             sent_to_target: 0,
         }
@@ -97,7 +104,7 @@
         let next = self.sent_to_target + 1;
         // The request itself counts only if it arrives before the deadline.
         let sent = self.sent + u64::from(now < self.deadline);
-        let earned = (sent as f64 * self.ratio) as u64;
+        let earned = (sent as f64 * self.ratio + self.advance) as u64;
         let others = self.sent - self.sent_to_target;
         next <= earned + self.share && (next <= earned || others >= next * MIN_OTHERS)
     }
@@ -108,6 +115,20 @@
     }
 }
 
+/// Returns the number of hosts of the group that precede this one: as many units as all of them need.
+fn rank(group: &quota::Group, service: &Name) -> u64 {
+    let (mut low, mut high) = (0, group.size() as u64);
+    while high - low > 1 {
+        let middle = low.midpoint(high);
+        if group.share(middle, service) > 0 {
+            high = middle;
+        } else {
+            low = middle;
+        }
+    }
+    low
+}
+
 /// A usable server of a service that has an order.
 #[derive(Clone, Copy, Debug)]
 pub struct Server<'a> {
--- a/tests/core/gateway/rollout/decider.rs
+++ b/tests/core/gateway/rollout/decider.rs
@@ -684,6 +684,29 @@
     assert_eq!(store.finals(), [State::Reverted]);
 }
 
+// Guards against an early promotion while a fault just begins: good answers before it outweigh few bad ones.
+#[test]
+fn step_suspicious_version_is_tried_longer() {
+    let mut store = Store::new();
+    let mut run = Run::new(DURATION_MS);
+    // Enough good answers, and then 5 bad ones in the last second.
+    for second in 0..4 {
+        for i in 0..400 {
+            let is_late_failure = second == 3 && i < 5;
+            let answer = Answer {
+                failed: is_late_failure,
+                ms: None,
+            };
+            let sent_at = after(second * 1_000 + i * 2);
+            let is_target = is_late_failure || i % 8 == 7;
+            run.evidence
+                .record(sent_at, &"/a".into(), is_target, answer);
+        }
+    }
+    run.run(&mut store, 0, 5_900);
+    assert_eq!(run.decider.phase().0, Phase::Canary);
+}
+
 // Guards against a version of which callers got nothing but failures, too few for a comparison.
 #[test]
 fn step_no_good_answer_reverts() {
--- a/tests/core/gateway/rollout/judgement.rs
+++ b/tests/core/gateway/rollout/judgement.rs
@@ -388,8 +388,10 @@
 #[test]
 fn must_stop_at_known_bad_answers() {
     let mut target = evidence();
-    record(&mut target, 0, false, 0, 100);
-    record(&mut target, 0, true, STOP_BAD - 1, 0);
+    for second in 0..13 {
+        record(&mut target, second * 1_000, false, 0, 30);
+        record(&mut target, second * 1_000, true, 3, 0);
+    }
     assert_eq!(judgement::must_stop(&target), None);
     record(&mut target, 0, true, 1, 0);
     assert!(matches!(
@@ -479,6 +481,32 @@
     assert!(!matches!(verdict, Verdict::Bad(_)), "{verdict:?}");
 }
 
+// Guards against a fault on one route that is lost in the failures of both versions on another one.
+#[test]
+fn judge_each_route_by_itself() {
+    let mut evidence = evidence();
+    for second in 0..6 {
+        let mut record = |route: &str, is_target: bool, failed: u64, good: u64| {
+            for i in 0..failed + good {
+                let answer = Answer {
+                    failed: i < failed,
+                    ms: None,
+                };
+                evidence.record(after(second * 1_000), &route.into(), is_target, answer);
+            }
+        };
+        record("/noisy", false, 150, 350);
+        record("/noisy", true, 15, 35);
+        record("/quiet", false, 0, 70);
+        record("/quiet", true, 2, 5);
+    }
+    let verdict = judgement::judge(&evidence, Look::Repeated);
+    let Verdict::Bad(Reason::Failures(difference)) = &verdict else {
+        panic!("{verdict:?}");
+    };
+    assert_eq!(difference.route.as_deref(), Some("/quiet"));
+}
+
 // Guards against a fault that begins late and is outweighed by the good answers before.
 #[test]
 fn judge_newest_part_by_itself() {
--- a/tests/core/gateway/rollout/ledger.rs
+++ b/tests/core/gateway/rollout/ledger.rs
@@ -270,6 +270,17 @@
     assert!(exposed >= 20 * 4, "{exposed}");
 }
 
+// Guards against hundreds of hosts with few requests each that all wait until they earned a whole one: a
+// bad version would be promoted for want of answers.
+#[test]
+fn may_send_many_hosts_use_ratio() {
+    let quiet = run(QUIET).1;
+    for hosts in [24, 91, 295] {
+        let (reached, exposed) = run(Trouble { hosts, ..QUIET });
+        assert!(exposed * 10 >= quiet * 8, "{exposed} of {reached}");
+    }
+}
+
 fn ids(prefix: &str, count: usize) -> Vec<Name> {
     (0..count).map(|i| format!("{prefix}-{i}").into()).collect()
 }
--- a/tests/core/gateway/rollout/mod.rs
+++ b/tests/core/gateway/rollout/mod.rs
@@ -5,6 +5,7 @@
 mod judgement;
 mod ledger;
 mod versions;
+mod whole;
 
 use teaselchute::{
     core::gateway::rollout::{
