--- a/tests/core/gateway/rollout/judgement.rs
+++ b/tests/core/gateway/rollout/judgement.rs
@@ -581,6 +581,11 @@
     );
     record(&mut evidence, 0, true, 0, 1);
     assert_eq!(judgement::judge(&evidence, Look::Repeated), Verdict::Sound);
+    // There is too little to compare with.
+    let mut alone = self::evidence();
+    record(&mut alone, 0, false, 0, ENOUGH - 1);
+    record(&mut alone, 0, true, 0, ENOUGH);
+    assert_eq!(judgement::judge(&alone, Look::Repeated), undecided(ENOUGH));
     // A second route with more than a twentieth of the answers.
     let answer = Answer {
         failed: false,
