--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod rate;
 mod recent;
 mod retry;
+mod rollout;
 mod servers;
 mod spillover;
 mod stream;
