--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -8,7 +8,19 @@
 };
 
 use super::{
-    cache, limits, quota, rate,
+    cache,
+    config::Config,
+    limits,
+    placement::{
+        self,
+        Belief,
+        Candidate,
+        Model,
+        Profile,
+        Sample,
+        cost::Estimate, //
+    },
+    quota, rate,
     servers::{
         self,
         Server, //
@@ -16,6 +28,7 @@
 };
 use crate::{
     names::Name,
+    options::gateway::Placement,
     time::Instant, //
 };
 
@@ -94,7 +107,7 @@
 }
 
 /// Assignment of a request to a server. It has to be passed to [`Balancer::complete`] at the end.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub struct Assignment {
     /// The server.
     pub server: Name,
@@ -103,6 +116,15 @@
     /// Server from whose cache it can fetch segments of the prompt.
     pub source: Option<Name>,
     is_prefilling: bool,
+    // Where the expected latency decided.
+    placed: Option<Box<placement::Placed>>,
+}
+
+impl Assignment {
+    /// Returns the terms of the expected latency, where it decided.
+    pub fn estimate(&self) -> Option<&Estimate> {
+        self.placed.as_ref().map(|placed| &placed.estimate)
+    }
 }
 
 /// Load that this host causes at servers, and failures that it observes.
@@ -113,6 +135,9 @@
     limiter: rate::Limiter,
     // Counts requests for the rates that servers name.
     named_limiter: rate::Limiter,
+    // By service, for those that are compared by latency.
+    models: HashMap<Name, Model>,
+    configured: Option<(u64, Placement)>,
 }
 
 impl Default for Balancer {
@@ -122,6 +147,8 @@
             cache: cache::Directory::default(),
             limiter: rate::Limiter::default(),
             named_limiter: rate::Limiter::new(limits::WINDOW_MS),
+            models: HashMap::new(),
+            configured: None,
         }
     }
 }
@@ -130,6 +157,29 @@
 pub type Filter<'a> = &'a dyn Fn(&Server) -> bool;
 
 impl Balancer {
+    /// Applies how servers are compared. Does nothing if that is known already, so it may precede every
+    /// request. What was learnt of a service is kept unless its capacity changes.
+    pub fn configure(&mut self, config: &Config, placement: Placement) {
+        let configured = Some((config.version, placement));
+        if self.configured == configured {
+            return;
+        }
+        self.configured = configured;
+        let mut known = std::mem::take(&mut self.models);
+        if placement == Placement::Tokens {
+            return;
+        }
+        for service in config.services.keys() {
+            let Some(profile) = Profile::of(config, service) else {
+                continue;
+            };
+            let model = known.remove(service);
+            let model = model.filter(|model| model.profile() == profile);
+            let model = model.unwrap_or_else(|| Model::new(profile));
+            self.models.insert(service.clone(), model);
+        }
+    }
+
     /// Selects a server and adds the request to its load.
     ///
     /// Long prompts with shared segments arrive in bursts. A prompt goes to the server that has its
@@ -152,7 +202,13 @@
         let mut has_candidate = false;
         let mut is_limited = false;
         let mut wait_ms: Option<u64> = None;
-        let preferred = self.preferred_server(table, request, is_allowed, is_local_region);
+        let uses_latency = !request.prompt.is_empty() && self.models.contains_key(request.service);
+        let mut candidates: Vec<Candidate<'_>> = Vec::new();
+        let preferred = if uses_latency {
+            None
+        } else {
+            self.preferred_server(table, request, is_allowed, is_local_region)
+        };
         for server in table.usable(request.service) {
             if !is_allowed(server) || request.tried.contains(&server.entry.id) {
                 continue;
@@ -177,6 +233,16 @@
             if load.running >= request.max_running {
                 continue;
             }
+            if uses_latency {
+                candidates.push(Candidate {
+                    server,
+                    running: load.running,
+                    prefill_tokens: load.prefill_tokens,
+                    is_backed_off: now < load.backoff_until,
+                    is_local: is_local_region(server),
+                });
+                continue;
+            }
             let slots = u64::from(server.entry.slots.max(1));
             let local_hosts = request.local_hosts.max(1) as u64;
             let (tokens, source) = self.prefill_cost(now, table, id, request.prompt);
@@ -214,6 +280,13 @@
                 best = Some((cost, tie_break, server, tokens, source));
             }
         }
+        if !candidates.is_empty() {
+            let is_source = |id: &Name| {
+                let server = table.usable_by_id(id);
+                server.is_some_and(|server| is_allowed(server) && is_local_region(server))
+            };
+            return self.place_by_latency(now, request, &candidates, &is_source);
+        }
         let Some((_, _, server, tokens, source)) = best else {
             return Err(if has_candidate {
                 Error::Full
@@ -230,6 +303,33 @@
             tokens,
             source,
             is_prefilling: true,
+            placed: None,
+        })
+    }
+
+    /// Places a request at the candidate with the smallest expected latency.
+    fn place_by_latency(
+        &mut self,
+        now: Instant,
+        request: &Request<'_>,
+        candidates: &[Candidate<'_>],
+        is_source: &dyn Fn(&Name) -> bool,
+    ) -> Result<Assignment, Error> {
+        let model = self.models.get_mut(request.service);
+        let model = model.ok_or(Error::NoServer)?;
+        let hosts = request.local_hosts;
+        let choice = model.choose(now, request.prompt, hosts, candidates, is_source);
+        let choice = choice.ok_or(Error::NoServer)?;
+        let id = candidates[choice.index].server.entry.id.clone();
+        let placed = model.add(now, request.service, &id, request.prompt, &choice);
+        let tokens = u64::from(choice.estimate.missing);
+        self.add_load(now, &id, tokens, request.prompt);
+        Ok(Assignment {
+            server: id,
+            tokens,
+            source: choice.source,
+            is_prefilling: true,
+            placed: Some(Box::new(placed)),
         })
     }
 
@@ -255,6 +355,7 @@
             tokens,
             source,
             is_prefilling: true,
+            placed: None,
         }
     }
 
@@ -270,6 +371,9 @@
         for &segment in segments {
             self.cache.record(now, segment, server);
         }
+        for model in self.models.values_mut() {
+            model.record_remote(now, server, segments);
+        }
     }
 
     fn preferred_server(
@@ -311,6 +415,20 @@
         (missing - fetched + fetched / FETCH_DIVISOR, Some(source))
     }
 
+    /// Records the first event of a request, with what its host saw. Returns whether that fits what was
+    /// believed of the server's cache, where it tells.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        assignment: &mut Assignment,
+        sample: Sample,
+    ) -> Option<Belief> {
+        self.finish_prefill(assignment);
+        let placed = assignment.placed.as_mut()?;
+        let model = self.models.get_mut(&placed.service)?;
+        model.observe(now, &assignment.server, placed, sample)
+    }
+
     /// Records the end of the prefill, which is when the first event arrives.
     pub fn finish_prefill(&mut self, assignment: &mut Assignment) {
         if !std::mem::take(&mut assignment.is_prefilling) {
@@ -324,6 +442,11 @@
     /// Records the end of a request. `failed` states that the server caused a failure.
     pub fn complete(&mut self, now: Instant, mut assignment: Assignment, failed: bool) {
         self.finish_prefill(&mut assignment);
+        if let Some(placed) = assignment.placed.take()
+            && let Some(model) = self.models.get_mut(&placed.service)
+        {
+            model.complete(now, &assignment.server, *placed, failed);
+        }
         let Some(load) = self.loads.get_mut(&assignment.server) else {
             return;
         };
@@ -345,6 +468,9 @@
         self.limiter.forget(id);
         self.named_limiter.forget(id);
         self.cache.forget(id);
+        for model in self.models.values_mut() {
+            model.forget(id);
+        }
     }
 
     /// Returns the number of requests of this host that run at a server.
--- a/src/core/gateway/config.rs
+++ b/src/core/gateway/config.rs
@@ -114,12 +114,25 @@
 pub enum Role {
     /// Run plain requests only.
     Plain,
-    /// Run models.
-    Engine,
+    /// Run models. With their capacity, if the configuration states all of it.
+    Engine(Option<Engine>),
     /// Run pieces of stages in batches.
     Stages(Stages),
 }
 
+/// Capacity of a server that runs models.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Engine {
+    /// Maximum number of concurrent requests.
+    pub slots: u32,
+    /// Memory for prompts and what follows them, in tokens.
+    pub memory_tokens: u64,
+    /// Size of a token in memory, in bytes.
+    pub token_bytes: f64,
+    /// Rate of transfers between servers, in megabits per second.
+    pub link_mbps: f64,
+}
+
 /// Capacity and speed of a server that runs stages.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Stages {
@@ -255,6 +268,16 @@
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// Returns the shortest latency objective of the routes to a service, in milliseconds.
+    pub fn objective_ms(&self, service: &str) -> Option<u64> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.filter(|route| {
+            let mut targets = route.targets.iter();
+            targets.any(|target| &*target.service == service)
+        });
+        routes.map(|route| route.objective_ms).min()
+    }
+
     /// Returns the route and the organisation of a request.
     ///
     /// # Errors
--- a/src/core/gateway/dispatch.rs
+++ b/src/core/gateway/dispatch.rs
@@ -21,6 +21,12 @@
         Segment, //
     },
     cache,
+    config::Config,
+    placement::{
+        Belief,
+        Sample,
+        cost::Estimate, //
+    },
     quota::Group,
     servers::{
         self,
@@ -29,6 +35,7 @@
 };
 use crate::{
     names::Name,
+    options::gateway::Placement,
     time::Instant, //
 };
 
@@ -69,7 +76,7 @@
 }
 
 /// Answer to an [`Ask`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// The request may be sent to a server.
     Granted(Grant),
@@ -85,7 +92,7 @@
 }
 
 /// Permission to send one request to a server.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
     /// Number of the grant at its dispatcher.
     pub id: u64,
@@ -95,6 +102,8 @@
     pub tokens: u64,
     /// Server from whose cache it can fetch segments of the prompt.
     pub source: Option<Name>,
+    /// Terms of the expected latency, where it decided. The host logs them.
+    pub estimate: Option<Estimate>,
 }
 
 /// Progress of a granted request.
@@ -112,6 +121,13 @@
         /// Whether the server caused a failure.
         failed: bool,
     },
+    /// Its first event arrived. Sent instead of `Prefilled` where servers are compared by latency.
+    FirstEvent {
+        /// Number of the grant.
+        id: u64,
+        /// What its host saw.
+        sample: Sample,
+    },
 }
 
 #[derive(Debug)]
@@ -182,6 +198,7 @@
                     server: assignment.server.clone(),
                     tokens: assignment.tokens,
                     source: assignment.source.clone(),
+                    estimate: assignment.estimate().copied(),
                 };
                 let running = Running {
                     assignment,
@@ -196,8 +213,14 @@
         }
     }
 
-    /// Records the progress of a granted request. One that is unknown or expired is ignored.
-    pub fn report(&mut self, now: Instant, report: Report) {
+    /// Applies how servers are compared: see [`Balancer::configure`].
+    pub fn configure(&mut self, config: &Config, placement: Placement) {
+        self.balancer.configure(config, placement);
+    }
+
+    /// Records the progress of a granted request. One that is unknown or expired is ignored. Returns whether
+    /// its first event fits what was believed of the server's cache, where it tells.
+    pub fn report(&mut self, now: Instant, report: Report) -> Option<Belief> {
         match report {
             Report::Prefilled { id } => {
                 if let Some(running) = self.running.get_mut(&id) {
@@ -209,7 +232,12 @@
                     self.balancer.complete(now, running.assignment, failed);
                 }
             }
+            Report::FirstEvent { id, sample } => {
+                let running = self.running.get_mut(&id)?;
+                return self.balancer.observe(now, &mut running.assignment, sample);
+            }
         }
+        None
     }
 
     /// Ends the requests whose time is over. Their reports were lost, or their hosts died.
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod lookup;
 pub mod mac;
+pub mod placement;
 pub mod plan;
 pub mod position;
 pub mod quarantine;
--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -141,6 +141,8 @@
     pub not_run: HeaderName,
     /// Requests per second that a server takes from all hosts together, while it is in need.
     pub server_limit: HeaderName,
+    /// Running and waiting requests of a server and its slots, on answers of some servers.
+    pub server_load: HeaderName,
     /// States that the server leaves, on all answers of one that does.
     pub leaving: HeaderName,
     /// Timeline of the store, on all its answers. It ascends each time the store returns from an older copy.
--- a/src/shell/gateway/datagrams/assignments.rs
+++ b/src/shell/gateway/datagrams/assignments.rs
@@ -18,11 +18,14 @@
     send_to, //
 };
 use crate::{
-    core::gateway::dispatch::{
-        Ask,
-        Grant,
-        Reply,
-        Report, //
+    core::gateway::{
+        dispatch::{
+            Ask,
+            Grant,
+            Reply,
+            Report, //
+        },
+        placement::Sample, //
     },
     names::Name,
     shell::gateway::{
@@ -82,12 +85,23 @@
     /// The dispatcher.
     pub(in crate::shell::gateway) dispatcher: Name,
     address: SocketAddr,
+    // Whether the dispatcher compares servers by latency.
+    is_measured: bool,
 }
 
 impl Lease {
     /// Reports that the first event of the request arrived.
-    pub(in crate::shell::gateway) fn finish_prefill(&self, gateway: &Gateway) {
-        report(gateway, self.address, Report::Prefilled { id: self.id });
+    pub(in crate::shell::gateway) fn finish_prefill(
+        &self,
+        gateway: &Gateway,
+        sample: Option<Sample>,
+    ) {
+        let id = self.id;
+        let made = match sample {
+            Some(sample) if self.is_measured => Report::FirstEvent { id, sample },
+            _ => Report::Prefilled { id },
+        };
+        report(gateway, self.address, made);
     }
 
     /// Reports the end of the request. `failed` states that the server caused a failure.
@@ -128,6 +142,7 @@
                     id: grant.id,
                     dispatcher: dispatcher.host.clone(),
                     address: dispatcher.address,
+                    is_measured: grant.estimate.is_some(),
                 };
                 if now.since_ms(asked_at) <= MAX_GRANT_AGE_MS {
                     return Answer::Granted(grant, lease);
@@ -205,7 +220,10 @@
         return Reply::NoServer;
     };
     let factor = gateway.options.borrow().bounds.cold_factor;
-    gateway.dispatcher.borrow_mut().ask(
+    let placement = gateway.options.borrow().features.placement;
+    let mut dispatcher = gateway.dispatcher.borrow_mut();
+    dispatcher.configure(&config, placement);
+    dispatcher.ask(
         gateway.now(),
         &gateway.servers.borrow(),
         question,
@@ -238,19 +256,22 @@
 
 /// Records reports of another host.
 pub(super) fn record(gateway: &Gateway, reports: &[Report]) {
-    let now = gateway.now();
-    let mut dispatcher = gateway.dispatcher.borrow_mut();
     for &report in reports {
-        dispatcher.report(now, report);
+        record_one(gateway, report);
+    }
+}
+
+fn record_one(gateway: &Gateway, report: Report) {
+    let now = gateway.now();
+    let belief = gateway.dispatcher.borrow_mut().report(now, report);
+    if let Some(belief) = belief {
+        gateway.metrics.count_belief(belief);
     }
 }
 
 fn report(gateway: &Gateway, to: SocketAddr, report: Report) {
     if to == gateway.options.borrow().listen.gossip {
-        return gateway
-            .dispatcher
-            .borrow_mut()
-            .report(gateway.now(), report);
+        return record_one(gateway, report);
     }
     let mut reports = gateway.datagrams.assignments.reports.borrow_mut();
     reports.entry(to).or_default().push(report);
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -23,6 +23,11 @@
             Ask,
             Grant, //
         },
+        placement::{
+            Sample,
+            cost::Estimate,
+            load::Load, //
+        },
         retry::Outcome,
         servers::Entry, //
     },
@@ -42,6 +47,7 @@
         quarantines,
         upstream, //
     },
+    time::Instant,
 };
 
 /// Delay before a request asks for a server again when all are full, in milliseconds.
@@ -59,6 +65,8 @@
     gateway: Rc<Gateway>,
     assignment: Option<Assignment>,
     lease: Option<Lease>,
+    // When the request was handed to a connection.
+    sent_at: Option<Instant>,
 }
 
 impl Slot {
@@ -71,15 +79,31 @@
         self.assignment.as_ref()?.source.clone()
     }
 
-    pub(super) fn finish_prefill(&mut self) {
+    /// Records that the request is sent now.
+    pub(super) fn mark_sent(&mut self) {
+        self.sent_at = Some(self.gateway.now());
+    }
+
+    /// Records the first event, with the load that the server stated in its answer.
+    pub(super) fn finish_prefill(&mut self, load: Option<Load>) {
+        let now = self.gateway.now();
+        let sent_at = self.sent_at;
+        let sample = sent_at.map(|sent_at| Sample::new(now.since_ms(sent_at), load));
         if let Some(assignment) = &mut self.assignment {
-            self.gateway
-                .balancer
-                .borrow_mut()
-                .finish_prefill(assignment);
+            let mut balancer = self.gateway.balancer.borrow_mut();
+            let belief = match sample {
+                Some(sample) => balancer.observe(now, assignment, sample),
+                None => {
+                    balancer.finish_prefill(assignment);
+                    None
+                }
+            };
+            if let Some(belief) = belief {
+                self.gateway.metrics.count_belief(belief);
+            }
         }
         if let Some(lease) = &self.lease {
-            lease.finish_prefill(&self.gateway);
+            lease.finish_prefill(&self.gateway, sample);
         }
     }
 
@@ -292,12 +316,14 @@
             grant.tokens,
             grant.source, //
         );
-        self.log_placed(&assignment, Some(&lease.dispatcher));
+        let dispatcher = Some(&lease.dispatcher);
+        self.log_placed(&assignment, dispatcher, grant.estimate.as_ref());
         datagrams::record_placement(gateway, &assignment.server, &self.prompt);
         Slot {
             gateway: gateway.clone(),
             assignment: Some(assignment),
             lease: Some(lease),
+            sent_at: None,
         }
     }
 
@@ -312,7 +338,7 @@
         if overview.has_dispatchers {
             cold_per_s *= dispatch::DIVIDED_PERCENT as f64 / 100.0;
         }
-        let is_engine = service.is_some_and(|service| service.role == Role::Engine);
+        let is_engine = service.is_some_and(|service| matches!(service.role, Role::Engine(_)));
         let is_dispatched = overview.has_dispatchers && is_engine;
         let max_running = self.max_connections(overview.group.size());
         let tried = self.tried.borrow();
@@ -326,6 +352,10 @@
             local_hosts: overview.local_hosts,
             named_share: &|server| limits::share(gateway, server, &overview.group, is_dispatched),
         };
+        if let Some(config) = gateway.config() {
+            let placement = gateway.options.borrow().features.placement;
+            gateway.balancer.borrow_mut().configure(&config, placement);
+        }
         let assignment = gateway.balancer.borrow_mut().place(
             now,
             &gateway.servers.borrow(),
@@ -333,16 +363,22 @@
             &|server| self.is_allowed(&server.entry.data_centre),
             &|server| gateway.region_of(&server.entry.data_centre) == *self.region.borrow(),
         )?;
-        self.log_placed(&assignment, None);
+        self.log_placed(&assignment, None, assignment.estimate());
         datagrams::record_placement(gateway, &assignment.server, &self.prompt);
         Ok(Slot {
             gateway: gateway.clone(),
             assignment: Some(assignment),
             lease: None,
+            sent_at: None,
         })
     }
 
-    fn log_placed(&self, assignment: &Assignment, dispatcher: Option<&Name>) {
+    fn log_placed(
+        &self,
+        assignment: &Assignment,
+        dispatcher: Option<&Name>,
+        estimate: Option<&Estimate>,
+    ) {
         let gateway = &self.gateway;
         let now = gateway.now();
         let servers = gateway.servers.borrow();
@@ -357,6 +393,8 @@
             tokens: assignment.tokens,
             age_ms: received_at.map_or(0, |received_at| now.since_ms(received_at)),
             dispatcher,
+            source: assignment.source.as_ref(),
+            estimate,
         });
     }
 }
--- a/src/shell/gateway/forward/pipeline.rs
+++ b/src/shell/gateway/forward/pipeline.rs
@@ -141,7 +141,7 @@
                 .get(&self.route.stages[dependency].service)?;
             match service.role {
                 Role::Stages(stages) => Some(stages.retention_ms),
-                Role::Plain | Role::Engine => None,
+                Role::Plain | Role::Engine(_) => None,
             }
         };
         let retentions_ms = self.route.stages[stage]
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -27,6 +27,7 @@
 };
 use crate::{
     core::gateway::{
+        placement::load::Load,
         retry::Outcome,
         servers::Entry,
         stream::Framer, //
@@ -158,7 +159,9 @@
         match source.next().await {
             Chunk::Events(first) => {
                 source.begun_at = self.gateway.now();
-                source.slot.finish_prefill();
+                let names = self.gateway.adapter.headers();
+                let load = header_text(&head.headers, &names.server_load);
+                source.slot.finish_prefill(Load::parse(load));
                 let ms = self.elapsed_ms().saturating_sub(self.stages_ms.get());
                 self.gateway
                     .durations
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -102,7 +102,7 @@
 
     async fn send(
         &self,
-        slot: Slot,
+        mut slot: Slot,
         entry: Option<&Entry>,
         resume: Option<u64>,
     ) -> Result<Answer, Error> {
@@ -137,6 +137,7 @@
         // set before the wait, which a deadline can cancel.
         let sent_unix_ms = clock::unix_ms();
         let may_have_run_before = self.may_have_run.replace(true);
+        slot.mark_sent();
         let sent = self
             .gateway
             .pool
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -12,6 +12,7 @@
     core::gateway::{
         balance::Segment,
         cache,
+        placement::cost::Estimate,
         position::Position,
         quarantine, //
     },
@@ -211,6 +212,10 @@
         age_ms: u64,
         /// The dispatcher that assigned the server. `None` if this host did.
         dispatcher: Option<&'a Name>,
+        /// Server from which parts of the prompt are fetched.
+        source: Option<&'a Name>,
+        /// Terms of the expected latency, where it decided.
+        estimate: Option<&'a Estimate>,
     },
     /// A grant of a dispatcher was declined, since its server gets no requests any more.
     Declined {
@@ -447,6 +452,32 @@
                 tokens,
                 age_ms,
                 dispatcher,
+                source,
+                estimate: Some(it),
+            } => slog::info!(log, "placed"; "request" => request, "server" => %server,
+                "attempt" => attempt, "running" => running, "tokens" => tokens, "age_ms" => age_ms,
+                "dispatcher" => dispatcher.map(Name::as_str), "source" => source.map(Name::as_str),
+                "first_ms" => it.first_ms() as u64, "total_ms" => it.total_ms() as u64,
+                "queue_ms" => it.queue_ms as u64, "prefill_ms" => it.prefill_ms as u64,
+                "fetch_ms" => it.fetch_ms as u64, "beside_ms" => it.beside_ms as u64,
+                "others_ms" => it.others_ms as u64, "slot_ms" => it.slot_ms as u64,
+                "memory_ms" => it.memory_ms as u64, "region_ms" => it.region_ms as u64,
+                "warm_up_ms" => it.warm_up_ms as u64, "failure_ms" => it.failure_ms as u64,
+                "uncertainty_ms" => it.uncertainty_ms as u64, "decode_ms" => it.decode_ms as u64,
+                "cached" => it.cached, "ahead" => it.ahead,
+                "factor_percent" => (it.factor * 100.0) as u64, "samples" => it.samples,
+                "speed_age_ms" => it.speed_age_ms,
+                "speed_from" => if it.samples > 0 { "server" } else { "median" }),
+            Event::Placed {
+                request,
+                server,
+                attempt,
+                running,
+                tokens,
+                age_ms,
+                dispatcher,
+                source: _,
+                estimate: None,
             } => slog::info!(log, "placed"; "request" => request, "server" => %server,
                 "attempt" => attempt, "running" => running, "tokens" => tokens, "age_ms" => age_ms,
                 "dispatcher" => dispatcher.map(Name::as_str)),
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -8,10 +8,13 @@
     }, //
 };
 
-use crate::shell::metrics::{
-    Error,
-    Exporter,
-    label, //
+use crate::{
+    core::gateway::placement::Belief,
+    shell::metrics::{
+        Error,
+        Exporter,
+        label, //
+    },
 };
 
 /// The instruments of one gateway.
@@ -31,6 +34,8 @@
     pub crashes: Counter<u64>,
     /// Grants of dispatchers whose servers get no requests any more, by what this host knows.
     pub declined_grants: Counter<u64>,
+    /// First events by what was believed of the server's cache, and whether their time fits that.
+    pub cache_beliefs: Counter<u64>,
     /// Servers that announced in an answer that they leave.
     pub departures: Counter<u64>,
     /// Calls to the store by topic and outcome.
@@ -56,6 +61,7 @@
             attempts: counter("gateway_attempts"),
             crashes: counter("gateway_crashes"),
             declined_grants: counter("gateway_declined_grants"),
+            cache_beliefs: counter("gateway_cache_beliefs"),
             departures: counter("gateway_departures"),
             store_calls: counter("gateway_store_calls"),
             exporter,
@@ -81,6 +87,22 @@
         self.crashes.add(1, &[label("service", service)]);
     }
 
+    /// Counts a first event whose time tells whether the server held what it was believed to hold.
+    pub fn count_belief(&self, belief: Belief) {
+        let labels = [
+            label(
+                "believed",
+                if belief.is_cached {
+                    "cached"
+                } else {
+                    "missing"
+                },
+            ),
+            KeyValue::new("right", belief.is_right),
+        ];
+        self.cache_beliefs.add(1, &labels);
+    }
+
     /// Counts a failed attempt at a server.
     pub fn count_attempt(&self, service: &str, end: &str) {
         let labels = [label("service", service), label("end", end)];
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -110,7 +110,7 @@
 pub(super) fn stages_of(gateway: &Gateway, service: &str) -> Option<Stages> {
     match gateway.config()?.services.get(service)?.role {
         Role::Stages(stages) => Some(stages),
-        Role::Plain | Role::Engine => None,
+        Role::Plain | Role::Engine(_) => None,
     }
 }
 
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod hosts;
 mod limits;
 mod mac;
+mod placement;
 mod plan;
 mod position;
 mod quarantine;
--- /dev/null
+++ b/tests/core/gateway/placement/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the placement by latency.
+
+mod engine;
+mod model;
+mod replay;
+mod unchanged;
