--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -371,7 +371,17 @@
         for &segment in segments {
             self.cache.record(now, segment, server);
         }
-        for model in self.models.values_mut() {
+    }
+
+    /// Records that another host sent segments to a server of a service, where the expected latency decides.
+    pub fn record_held(
+        &mut self,
+        now: Instant,
+        service: &str,
+        server: &Name,
+        segments: &[cache::Key],
+    ) {
+        if let Some(model) = self.models.get_mut(service) {
             model.record_remote(now, server, segments);
         }
     }
--- a/src/core/gateway/dispatch.rs
+++ b/src/core/gateway/dispatch.rs
@@ -272,6 +272,17 @@
         self.balancer.record_remote(now, server, segments);
     }
 
+    /// Records the same where the expected latency decides: see [`Balancer::record_held`].
+    pub fn record_held(
+        &mut self,
+        now: Instant,
+        service: &str,
+        server: &Name,
+        segments: &[cache::Key],
+    ) {
+        self.balancer.record_held(now, service, server, segments);
+    }
+
     /// Removes a server that has left or restarted.
     pub fn forget(&mut self, id: &Name) {
         self.balancer.forget(id);
--- a/src/core/gateway/placement/mod.rs
+++ b/src/core/gateway/placement/mod.rs
@@ -385,13 +385,17 @@
         counts: &[u16],
         is_source: &dyn Fn(&Name) -> bool,
     ) -> Option<(Slot, u16)> {
-        let most = counts.iter().copied().max().filter(|&most| most > 0)?;
-        let key = *keys.get(usize::from(most) - 1)?;
-        let holders = self.memory.holders(key).iter().copied();
-        let whole = holders.filter(|&slot| counts[slot as usize] == most);
-        let mut ready = whole.filter(|&slot| self.memory.is_ready(now, slot, key));
-        let slot = ready.find(|&slot| is_source(&self.states[slot as usize].id))?;
-        Some((slot, most))
+        let most = counts.iter().copied().max()?;
+        (1..=most).rev().find_map(|count| {
+            let key = *keys.get(usize::from(count) - 1)?;
+            let holders = self.memory.holders(key).iter().copied();
+            let mut usable = holders.filter(|&slot| {
+                counts[slot as usize] == count
+                    && self.memory.is_ready(now, slot, key)
+                    && is_source(&self.states[slot as usize].id)
+            });
+            usable.next().map(|slot| (slot, count))
+        })
     }
 
     /// Returns the weight with which the prefill of a request counts for later requests.
@@ -554,9 +558,7 @@
 
     /// Records that another host sent parts to a server.
     pub fn record_remote(&mut self, now: Instant, server: &Name, parts: &[Key]) {
-        let Some(&slot) = self.index.get(server) else {
-            return;
-        };
+        let slot = self.slot(server);
         for &key in parts {
             let mean = self.mean_size.value(DEFAULT_PART_TOKENS) as u64;
             let tokens = self.sizes.get(&key).copied().unwrap_or(mean);
--- a/src/shell/gateway/datagrams/placements.rs
+++ b/src/shell/gateway/datagrams/placements.rs
@@ -105,10 +105,19 @@
     let servers = gateway.servers.borrow();
     let mut balancer = gateway.balancer.borrow_mut();
     let mut dispatcher = gateway.dispatcher.borrow_mut();
+    if let Some(config) = gateway.config() {
+        // A host that may follow the dispatcher has to know these before its first question.
+        let placement = gateway.options.borrow().features.placement;
+        balancer.configure(&config, placement);
+        dispatcher.configure(&config, placement);
+    }
     for Placement { server, parts } in placements {
         if let Some(server) = servers.get(server) {
             balancer.record_remote(now, &server.entry.id, parts);
             dispatcher.record_remote(now, &server.entry.id, parts);
+            let service = &server.entry.service;
+            balancer.record_held(now, service, &server.entry.id, parts);
+            dispatcher.record_held(now, service, &server.entry.id, parts);
         }
     }
 }
--- a/tests/core/gateway/placement/model.rs
+++ b/tests/core/gateway/placement/model.rs
@@ -275,6 +275,40 @@
     }
 }
 
+/// What a request of an earlier start of a server sees says nothing about the present one.
+#[test]
+fn complete_request_of_earlier_start() {
+    let config = config(&UNEQUAL);
+    let table = table(1);
+    let mut balancer = balancer(&config);
+    let mut early = place(&mut balancer, 0, &table, &prompt("hot", "a"));
+    balancer.observe(at(300), &mut early, Sample::new(300, None));
+    let mut late = place(&mut balancer, 400, &table, &prompt("hot", "b"));
+    balancer.forget(&"s000".into());
+    let next = place(&mut balancer, 500, &table, &prompt("other", "c"));
+    balancer.observe(at(700), &mut late, Sample::new(300, None));
+    balancer.complete(at(1_000), early, false);
+    balancer.complete(at(1_000), late, false);
+    balancer.complete(at(1_000), next, false);
+    let own = &prompt("hot", "a")[2..];
+    let again = place(&mut balancer, 2_000, &table, own);
+    let estimate = again.estimate().expect("latency decides");
+    assert_eq!((estimate.cached, estimate.samples), (0, 0));
+}
+
+/// A host that follows a dispatcher knows where prompts of other hosts went, before its first decision.
+#[test]
+fn record_held_before_first_decision() {
+    let config = config(&UNEQUAL);
+    let table = table(4);
+    let mut balancer = balancer(&config);
+    let prompt = prompt("hot", "a");
+    let keys: Vec<cache::Key> = prompt[..2].iter().map(cache::key).collect();
+    balancer.record_held(at(0), "llm", &"s002".into(), &keys);
+    let placed = place(&mut balancer, 1_000, &table, &prompt);
+    assert_eq!((&*placed.server, placed.tokens), ("s002", 2_890));
+}
+
 /// What was learnt survives a configuration that leaves the engines as they are.
 #[test]
 fn configure_keeps_speeds() {
