--- a/src/core/gateway/placement/mod.rs
+++ b/src/core/gateway/placement/mod.rs
@@ -1,7 +1,10 @@
 //! Latency-based placement: the expected cost of a prompt at each engine, from its measured speed and from
 //! what its memory holds. See `docs/design/placement.md`.
 
-use std::collections::HashMap;
+use std::{
+    cell::Cell,
+    collections::HashMap, //
+};
 
 use serde::{
     Deserialize,
@@ -100,6 +103,14 @@
 /// Maximum number of parts whose sizes are remembered. Beyond it all are forgotten, and the mean is used.
 const MAX_SIZES: usize = 20_000;
 
+/// Time for which the factor of a server is used without a new sample, in milliseconds: short against a
+/// spell. Its exponentials would be most of a decision's time.
+const FACTOR_MS: u64 = 50;
+
+/// Number of slots of the last decision that are compared with a candidate. Candidates come in the same order
+/// each time, and few are missing.
+const NEXT_SLOTS: usize = 3;
+
 /// Time of a request at a server before any has ended, in milliseconds.
 const DEFAULT_HOLD_MS: f64 = 1_000.0;
 
@@ -214,6 +225,8 @@
     // Tells the server from earlier ones in the same slot.
     start: u64,
     speed: Speed,
+    // The factor and when it was computed.
+    factor: Cell<Option<(Instant, f64)>>,
     // Requests in their prefill, and when the oldest of them got its turn.
     prefilling: u32,
     prefill_since: Instant,
@@ -241,6 +254,21 @@
     sizes: HashMap<Key, u64>,
     mean_size: Mean,
     counts: Vec<u16>,
+    // Slots of the candidates of the last decision.
+    recent: Vec<Slot>,
+}
+
+impl State {
+    fn factor(&self, now: Instant, median: f64) -> f64 {
+        if let Some((at, factor)) = self.factor.get()
+            && now.since_ms(at) < FACTOR_MS
+        {
+            return factor;
+        }
+        let factor = self.speed.factor(now, median);
+        self.factor.set(Some((now, factor)));
+        factor
+    }
 }
 
 impl Model {
@@ -263,6 +291,7 @@
             sizes: HashMap::new(),
             mean_size: Mean::default(),
             counts: Vec::new(),
+            recent: Vec::new(),
         }
     }
 
@@ -281,6 +310,7 @@
             hash: balance::hash(&[id]),
             start: self.last_start,
             speed: Speed::default(),
+            factor: Cell::new(None),
             prefilling: 0,
             prefill_since: Instant::ZERO,
             link_free_at: Instant::ZERO,
@@ -297,10 +327,33 @@
         slot
     }
 
+    /// Returns the slots of candidates. Those of the last decision are tried first, since a comparison of ids
+    /// takes a fraction of a lookup.
+    fn slots(&mut self, candidates: &[Candidate<'_>]) -> Vec<Slot> {
+        let mut next = 0;
+        let mut slots = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
+            let id = &candidate.server.entry.id;
+            let mut tried = self.recent.iter().skip(next).take(NEXT_SLOTS);
+            let found = tried.position(|&slot| self.states[slot as usize].id == *id);
+            let slot = match found {
+                Some(skipped) => {
+                    next += skipped + 1;
+                    self.recent[next - 1]
+                }
+                None => self.slot(id),
+            };
+            slots.push(slot);
+        }
+        self.recent.clone_from(&slots);
+        slots
+    }
+
     /// Removes a server that has left or restarted.
     pub fn forget(&mut self, id: &str) {
         if let Some(slot) = self.index.remove(id) {
             self.memory.forget(slot);
+            self.states[slot as usize].id = "".into();
             self.free.push(slot);
         }
     }
@@ -318,10 +371,7 @@
         candidates: &[Candidate<'_>],
         is_source: &dyn Fn(&Name) -> bool,
     ) -> Option<Choice> {
-        let slots: Vec<Slot> = candidates
-            .iter()
-            .map(|it| self.slot(&it.server.entry.id))
-            .collect();
+        let slots = self.slots(candidates);
         let keys: Vec<Key> = prompt.iter().map(cache::key).collect();
         let mut counts = std::mem::take(&mut self.counts);
         self.memory
@@ -419,7 +469,7 @@
         count: u16,
     ) -> Estimate {
         let state = &self.states[slot as usize];
-        let factor = state.speed.factor(now, self.median);
+        let factor = state.factor(now, self.median);
         let token_ms = self.line.token_ms * factor;
         let all = prompt.lengths.last().copied().unwrap_or_default();
         let cached = prompt.lengths[usize::from(count)];
@@ -628,6 +678,7 @@
         // The wait for a slot or for memory says nothing about the speed.
         if estimate.slot_ms == 0.0 && estimate.memory_ms == 0.0 {
             state.speed.observe(now, ms / expected_ms);
+            state.factor.set(None);
             self.line.observe(tokens, ms);
             self.samples += 1;
             if self.samples.is_multiple_of(MEDIAN_SAMPLES) {
@@ -637,6 +688,7 @@
         if let Some(percent) = sample.pace_percent {
             let (_, state) = self.state(server, placed)?;
             state.speed.observe_pace(now, f64::from(percent) / 100.0);
+            state.factor.set(None);
         }
         belief
     }
