--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod lookup;
 pub mod mac;
 pub mod pause;
+pub mod placement;
 pub mod plan;
 pub mod position;
 pub mod quarantine;
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -130,7 +130,7 @@
 
     async fn send(
         &self,
-        slot: Slot,
+        mut slot: Slot,
         entry: Option<&Entry>,
         sent_at: Instant,
         resume: Option<u64>,
@@ -166,6 +166,7 @@
         // set before the wait, which a deadline can cancel.
         let sent_unix_ms = clock::unix_ms();
         let may_have_run_before = self.may_have_run.replace(true);
+        slot.mark_sent();
         let sent = self
             .gateway
             .pool
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod mac;
 mod pause;
+mod placement;
 mod plan;
 mod position;
 mod quarantine;
