--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -123,14 +123,16 @@
     /// Server from whose cache it can fetch segments of the prompt.
     pub source: Option<Name>,
     is_prefilling: bool,
-    // Where the expected latency decided.
+    // Where speeds are learnt or decide.
     placed: Option<Box<placement::Placed>>,
+    is_by_latency: bool,
 }
 
 impl Assignment {
     /// Returns the terms of the expected latency, where it decided.
     pub fn estimate(&self) -> Option<&Estimate> {
-        self.placed.as_ref().map(|placed| &placed.estimate)
+        let placed = self.placed.as_ref().filter(|_| self.is_by_latency)?;
+        Some(&placed.estimate)
     }
 }
 
@@ -210,7 +212,12 @@
         let mut is_limited = false;
         let mut wait_ms: Option<u64> = None;
         let mut pause_ms: Option<u64> = None;
-        let uses_latency = !request.prompt.is_empty() && self.models.contains_key(request.service);
+        let model = self
+            .models
+            .get(request.service)
+            .filter(|_| !request.prompt.is_empty());
+        let uses_latency = model.is_some_and(|model| self.is_decided_by(model));
+        let learns_speeds = model.is_some() && !uses_latency;
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
         let preferred = if uses_latency {
             None
@@ -254,13 +261,7 @@
                 continue;
             }
             if uses_latency {
-                candidates.push(Candidate {
-                    server,
-                    running: load.running,
-                    prefill_tokens: load.prefill_tokens,
-                    is_backed_off: now < load.backoff_until,
-                    is_local: is_local_region(server),
-                });
+                candidates.push(candidate(now, server, load, is_local_region));
                 continue;
             }
             let slots = u64::from(server.entry.slots.max(1));
@@ -319,16 +320,48 @@
             });
         };
         let id = server.entry.id.clone();
+        let placed = if learns_speeds {
+            let load = self.loads.get(&id).copied().unwrap_or_default();
+            let candidate = candidate(now, server, load, is_local_region);
+            self.follow(now, request, candidate)
+        } else {
+            None
+        };
         self.add_load(now, &id, tokens, request.prompt);
         Ok(Assignment {
             server: id,
             tokens,
             source,
             is_prefilling: true,
-            placed: None,
+            placed,
+            is_by_latency: false,
         })
     }
 
+    /// Returns whether the expected latency decides for a service with a model.
+    fn is_decided_by(&self, model: &Model) -> bool {
+        match self.configured {
+            Some((_, Placement::Latency)) => true,
+            Some((_, Placement::Adaptive)) => model.is_uneven(),
+            Some((_, Placement::Tokens)) | None => false,
+        }
+    }
+
+    /// Adds a request to the model of its service that was placed by tokens, so that speeds are learnt.
+    fn follow(
+        &mut self,
+        now: Instant,
+        request: &Request<'_>,
+        candidate: Candidate<'_>,
+    ) -> Option<Box<placement::Placed>> {
+        let model = self.models.get_mut(request.service)?;
+        let id = &candidate.server.entry.id;
+        let hosts = request.local_hosts;
+        let choice = model.choose(now, request.prompt, hosts, &[candidate], &|_| false)?;
+        let placed = model.add(now, request.service, id, request.prompt, &choice);
+        Some(Box::new(placed))
+    }
+
     /// Places a request at the candidate with the smallest expected latency.
     fn place_by_latency(
         &mut self,
@@ -352,6 +385,7 @@
             source: choice.source,
             is_prefilling: true,
             placed: Some(Box::new(placed)),
+            is_by_latency: true,
         })
     }
 
@@ -378,6 +412,7 @@
             source,
             is_prefilling: true,
             placed: None,
+            is_by_latency: false,
         }
     }
 
@@ -511,6 +546,21 @@
     }
 }
 
+fn candidate<'a>(
+    now: Instant,
+    server: &'a Server,
+    load: Load,
+    is_local_region: Filter<'_>,
+) -> Candidate<'a> {
+    Candidate {
+        server,
+        running: load.running,
+        prefill_tokens: load.prefill_tokens,
+        is_backed_off: now < load.backoff_until,
+        is_local: is_local_region(server),
+    }
+}
+
 /// Returns the segments that other requests may share: all but the last.
 pub fn shared_segments(prompt: &[Segment]) -> &[Segment] {
     prompt.split_last().map_or(&[], |(_, shared)| shared)
--- a/src/core/gateway/placement/mod.rs
+++ b/src/core/gateway/placement/mod.rs
@@ -118,6 +118,13 @@
 /// milliseconds. Less is within the noise of a sample.
 const MIN_BELIEF_MS: f64 = 40.0;
 
+/// Unevenness from which servers are compared by latency if that is adaptive. Where a third of the servers
+/// takes 1.3 times as long as the others it is 0.12, and 0.42 where a third takes 2.4 times as long.
+const UNEVEN: f64 = 0.3;
+
+/// Unevenness below which they are compared by tokens again, lower so that noise doesn't switch it.
+const EVEN: f64 = 0.2;
+
 /// What is known of the engines of a service from the configuration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Profile {
@@ -245,6 +252,7 @@
     memory: Memory,
     line: Line,
     median: f64,
+    is_uneven: bool,
     samples: u32,
     hold_ms: Mean,
     decode_ms: Mean,
@@ -283,6 +291,7 @@
             memory: Memory::new(profile.memory_tokens),
             line: Line::default(),
             median: 1.0,
+            is_uneven: false,
             samples: 0,
             hold_ms: Mean::default(),
             decode_ms: Mean::default(),
@@ -300,6 +309,11 @@
         self.profile
     }
 
+    /// Returns whether the measured speeds of the servers differ so much that costs in tokens mislead.
+    pub fn is_uneven(&self) -> bool {
+        self.is_uneven
+    }
+
     fn slot(&mut self, id: &Name) -> Slot {
         if let Some(&slot) = self.index.get(id) {
             return slot;
@@ -682,7 +696,10 @@
             self.line.observe(tokens, ms);
             self.samples += 1;
             if self.samples.is_multiple_of(MEDIAN_SAMPLES) {
-                self.median = speed::median(self.states.iter().map(|state| &state.speed));
+                let speeds = || self.states.iter().map(|state| &state.speed);
+                self.median = speed::median(speeds());
+                let limit = if self.is_uneven { EVEN } else { UNEVEN };
+                self.is_uneven = speed::unevenness(speeds()) >= limit;
             }
         }
         if let Some(percent) = sample.pace_percent {
--- a/src/core/gateway/placement/speed.rs
+++ b/src/core/gateway/placement/speed.rs
@@ -46,6 +46,13 @@
 /// usual engines of a deployment lies a factor of 0.7.
 const DEFAULT_SPREAD: f64 = 0.35;
 
+/// Number of samples from which a server counts for how uneven a service is. With fewer, the estimate of the
+/// noise itself is too uncertain.
+const MIN_UNEVEN_SAMPLES: u32 = 6;
+
+/// Number of such servers from which a service can count as uneven. Fewer may differ by chance.
+const MIN_UNEVEN_SERVERS: usize = 6;
+
 /// Weighted sums of the samples of a service.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
@@ -204,6 +211,27 @@
     *factors.select_nth_unstable_by(middle, f64::total_cmp).1
 }
 
+/// Returns how much the lasting factors of servers differ, as the standard deviation of their logarithms
+/// beyond the noise of the estimates.
+pub fn unevenness<'a>(speeds: impl Iterator<Item = &'a Speed>) -> f64 {
+    let known: Vec<&Speed> = speeds
+        .filter(|speed| speed.samples >= MIN_UNEVEN_SAMPLES)
+        .collect();
+    if known.len() < MIN_UNEVEN_SERVERS {
+        return 0.0;
+    }
+    let count = known.len() as f64;
+    let mean = known.iter().map(|speed| speed.lasting).sum::<f64>() / count;
+    let squares = known.iter().map(|speed| (speed.lasting - mean).powi(2));
+    // The mean of an exponential average varies like that of twice as many samples.
+    let noise = known.iter().map(|speed| {
+        let samples = f64::from(speed.samples).min(2.0 * LASTING_SAMPLES - 1.0);
+        speed.variance / samples
+    });
+    let variance = squares.sum::<f64>() / (count - 1.0) - noise.sum::<f64>() / count;
+    variance.max(0.0).sqrt()
+}
+
 /// A mean in which old values fade.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Mean {
--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -68,6 +68,9 @@
     /// By tokens to prefill, with constants for everything else.
     #[default]
     Tokens,
+    /// By the expected latency while the measured speeds of a service's servers differ widely, by tokens
+    /// otherwise.
+    Adaptive,
     /// By the expected latency at each server's measured speed: see `docs/design/placement.md`.
     Latency,
 }
--- a/tests/core/gateway/placement/mod.rs
+++ b/tests/core/gateway/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the placement by latency.
 
+mod adaptive;
 mod engine;
 mod model;
 mod replay;
--- a/tests/core/gateway/placement/unchanged.rs
+++ b/tests/core/gateway/placement/unchanged.rs
@@ -123,6 +123,15 @@
     assert_eq!(decisions(balancer), DECISIONS_BEFORE);
 }
 
+/// Deployments with servers of equal speeds would be served otherwise if the adaptive placement acted without
+/// measured differences.
+#[test]
+fn place_adaptive_without_samples_as_before() {
+    let mut balancer = Balancer::default();
+    balancer.configure(&config(&UNEQUAL), Placement::Adaptive);
+    assert_eq!(decisions(balancer), DECISIONS_BEFORE);
+}
+
 /// The test above would pass with hashes that depend on nothing.
 #[test]
 fn place_by_latency_otherwise() {
