--- a/src/core/gateway/batch.rs
+++ b/src/core/gateway/batch.rs
@@ -250,6 +250,12 @@
         Some(self.unused_bytes(stages, name))
     }
 
+    /// Returns the number of calls in progress and of results of this host at a server.
+    pub fn uses(&self, server: &str) -> usize {
+        let server = self.servers.get(server);
+        server.map_or(0, |server| server.calls as usize + server.results.len())
+    }
+
     /// Returns the estimated bytes of results that a server holds.
     pub fn held_bytes(&self, server: &str) -> u64 {
         self.servers.get(server).map_or(0, Server::held_bytes)
--- a/src/core/gateway/dispatch.rs
+++ b/src/core/gateway/dispatch.rs
@@ -66,6 +66,32 @@
     pub excluded: Vec<Name>,
     /// Time after which the request has ended, in milliseconds.
     pub remaining_ms: u64,
+    /// Versions of the service that the request may go to.
+    pub constraint: Constraint,
+}
+
+/// Versions of a service that a request may go to. A version is stated by the hash of its name, since the
+/// name may be long and the datagram must stay small.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Constraint {
+    /// Any version that the dispatcher uses itself.
+    #[default]
+    Any,
+    /// Only this one.
+    Only(u64),
+    /// All but this one.
+    Not(u64),
+}
+
+impl Constraint {
+    /// Returns whether it admits a version.
+    pub fn admits(self, version: u64) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => version == only,
+            Self::Not(not) => version != not,
+        }
+    }
 }
 
 /// Answer to an [`Ask`].
--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -22,7 +22,8 @@
     limits,
     mac::Key,
     quarantine,
-    quota, //
+    quota,
+    rollout::Phase, //
 };
 use crate::{
     names::Name,
@@ -79,6 +80,25 @@
     pub report: quarantine::Report,
     /// What servers said about the rates of requests that they take.
     pub limits: Vec<limits::Limit>,
+    /// Orders that are open at the host, for hosts that its datagrams don't reach.
+    pub rollouts: Vec<Rollout>,
+}
+
+/// An order to roll a version out, as a host states it to others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// The service.
+    pub service: Name,
+    /// Id of the order.
+    pub order: u64,
+    /// Time since the order, in milliseconds.
+    pub age_ms: u64,
+    /// Phase at the host.
+    pub phase: Phase,
+    /// Whether the store has the phase as the state of the order.
+    pub is_written: bool,
+    /// Number of the host's requests that need a server of another version, from [`Phase::Promoting`] on.
+    pub in_flight_old: Option<u64>,
 }
 
 /// A host and its last heartbeat.
@@ -219,6 +239,17 @@
         })
     }
 
+    /// Returns the hosts that are no longer live and may still run, other than those that announced their
+    /// end.
+    pub fn silent(&self, now: Instant) -> impl Iterator<Item = &Host> {
+        self.hosts.values().filter(move |host| {
+            let age_ms = self.age_ms(now, host);
+            let is_silent =
+                age_ms.is_some_and(|ms| (HEARTBEAT_TIMEOUT_MS..QUOTA_TIMEOUT_MS).contains(&ms));
+            is_silent && host.heartbeat.serving
+        })
+    }
+
     /// Returns the host that reads a topic for all hosts of a data centre. Returns `None` if there
     /// are so few that each of them reads it.
     pub fn reader(
--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -51,12 +51,14 @@
     pub started_at: Option<u64>,
     /// Number of the registration, ascending from the server's start.
     pub sequence: Option<u64>,
+    /// Version of the service that it runs, `None` if it names none.
+    pub version: Option<Name>,
 }
 
 impl Entry {
     /// Returns whether the server wrote this entry after another one of the same id. Entries that don't
     /// say when they were written count as newer.
-    fn is_newer_than(&self, known: Version) -> bool {
+    fn is_newer_than(&self, known: Revision) -> bool {
         let (Some(started_at), Some(known_start)) = (self.started_at, known.started_at) else {
             return true;
         };
@@ -66,8 +68,8 @@
         (started_at, sequence) > (known_start, known_sequence)
     }
 
-    fn version(&self) -> Version {
-        Version {
+    fn revision(&self) -> Revision {
+        Revision {
             started_at: self.started_at,
             sequence: self.sequence,
         }
@@ -76,7 +78,7 @@
 
 /// When a server wrote an entry, by its own counts.
 #[derive(Clone, Copy, Debug)]
-struct Version {
+struct Revision {
     started_at: Option<u64>,
     sequence: Option<u64>,
 }
@@ -110,7 +112,7 @@
     servers: BTreeMap<Name, Server>,
     drained: BTreeSet<Name>,
     // Servers that have left, with their last entries, and when.
-    left: BTreeMap<Name, (Version, Instant)>,
+    left: BTreeMap<Name, (Revision, Instant)>,
     // Drains that a copy of the registry lacks, and since when.
     lost_drains: BTreeMap<Name, Instant>,
     // Servers that announced in an answer that they leave.
@@ -169,8 +171,8 @@
     /// The copy is older than what is known. A server that joined since registers again; one that was
     /// leaving or had left must not come back.
     pub fn restore(&mut self, now: Instant, id: &Name, entry: Option<Entry>) -> Option<Change> {
-        let known = self.servers.get(id).map(|server| server.entry.version());
-        let known = known.or_else(|| self.left.get(id).map(|(version, _)| *version));
+        let known = self.servers.get(id).map(|server| server.entry.revision());
+        let known = known.or_else(|| self.left.get(id).map(|(revision, _)| *revision));
         match (&entry, known) {
             (Some(entry), Some(known)) if !entry.is_newer_than(known) => None,
             _ => self.update(now, id, entry, true),
@@ -212,7 +214,7 @@
         let Some(server) = self.servers.remove(id) else {
             return false;
         };
-        self.left.insert(id.clone(), (server.entry.version(), now));
+        self.left.insert(id.clone(), (server.entry.revision(), now));
         true
     }
 
@@ -241,6 +243,11 @@
         self.servers.keys().cloned().collect()
     }
 
+    /// Returns all servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
     /// Returns all entries, with the remaining time of the servers' warm-up.
     pub fn entries(&self, now: Instant) -> Vec<Entry> {
         let servers = self.servers.values();
--- a/src/edges/gateway.rs
+++ b/src/edges/gateway.rs
@@ -12,6 +12,7 @@
     core::gateway::{
         batch::Piece,
         config::Config,
+        rollout::decider::State,
         servers, //
     },
     names::Name,
@@ -28,6 +29,8 @@
     Servers,
     /// Heartbeats of entry hosts.
     Hosts,
+    /// States of rollouts, written by the hosts.
+    Status,
 }
 
 /// A request to the store or to a server.
@@ -94,10 +97,35 @@
         /// Whether the data centre gets no new work.
         drained: bool,
     },
+    /// Moves a service's traffic to a version of its servers, or withdraws that order.
+    Rollout {
+        /// The service.
+        service: Name,
+        /// The order, `None` if it was deleted.
+        order: Option<Rollout>,
+    },
     /// A record that the gateway doesn't use.
     Other,
 }
 
+/// Order to move a service's traffic to a version of its servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// The version.
+    pub target: Name,
+    /// Time from the order to its deadline, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// State of a rollout in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// The state.
+    pub state: State,
+    /// Version of the order that it belongs to.
+    pub target: Name,
+}
+
 /// Failure of one piece of a stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -183,9 +211,18 @@
     /// Encodes a write of records, which are appended together or not at all.
     fn append(&self, topic: Topic, records: &[Record]) -> Call;
 
+    /// Encodes a write of records which the store executes only if the topic ends at an offset.
+    fn append_at(&self, topic: Topic, records: &[Record], end: u64) -> Call;
+
     /// Decodes a record of the operators.
     fn directive(&self, record: &Record) -> Result<Directive, Error>;
 
+    /// Decodes the state of a service's rollout, `None` if the record is another one or was deleted.
+    fn status(&self, record: &Record) -> Result<Option<(Name, Status)>, Error>;
+
+    /// Encodes the state of a service's rollout.
+    fn status_record(&self, service: &Name, status: &Status) -> Record;
+
     /// Decodes a server's entry, `None` if it was deleted.
     fn server(&self, record: &Record) -> Result<Option<servers::Entry>, Error>;
 
--- a/src/shell/gateway/datagrams/assignments.rs
+++ b/src/shell/gateway/datagrams/assignments.rs
@@ -27,7 +27,8 @@
     names::Name,
     shell::gateway::{
         Gateway,
-        limits, //
+        limits,
+        rollouts, //
     },
     time::Instant,
 };
@@ -211,7 +212,10 @@
         question,
         service.cold_requests_per_s * factor,
         &|server| limits::dispatcher_share(gateway, server),
-        &|server| gateway.region_of(&server.entry.data_centre) == gateway.identity.region,
+        &|server| {
+            gateway.region_of(&server.entry.data_centre) == gateway.identity.region
+                && rollouts::may_grant(gateway, &server.entry, question.constraint)
+        },
     )
 }
 
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -18,7 +18,8 @@
 
 use super::{
     Gateway,
-    quarantines, //
+    quarantines,
+    rollouts, //
 };
 use crate::core::gateway::{
     dispatch::{
@@ -59,6 +60,7 @@
     Reports(Vec<Report>),
     Quarantine(quarantine::Report),
     Limit(limits::Limit),
+    Rollout(rollouts::Report),
 }
 
 /// State of the exchange of datagrams.
@@ -114,6 +116,16 @@
     send_to_all(gateway, &Message::Limit(limit));
 }
 
+/// Sends the phase of a rollout to all hosts.
+pub(super) fn announce_rollout(gateway: &Gateway, report: rollouts::Report) {
+    send_to_all(gateway, &Message::Rollout(report));
+}
+
+/// Sends what this host knows of a rollout to the host that decides.
+pub(super) fn report_rollout(gateway: &Gateway, to: &Heartbeat, report: rollouts::Report) {
+    send(gateway, to, &Message::Rollout(report));
+}
+
 fn send_to_all(gateway: &Gateway, message: &Message) {
     let hosts = gateway.hosts.borrow();
     for host in hosts.live(gateway.now()) {
@@ -156,6 +168,7 @@
                 assignments::receive(&gateway, from, number, reply);
             }
             Ok(Message::Reports(reports)) => assignments::record(&gateway, &reports),
+            Ok(Message::Rollout(report)) => rollouts::receive(&gateway, from, report),
             Ok(Message::Limit(limit)) => super::limits::merge(&gateway, limit),
             Ok(Message::Quarantine(report)) => quarantines::merge(&gateway, report),
             Err(_) => {}
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -40,6 +40,11 @@
             Progress, //
         },
         quarantines,
+        rollouts::{
+            self,
+            Hold,
+            Selection, //
+        },
         upstream, //
     },
 };
@@ -59,6 +64,9 @@
     gateway: Rc<Gateway>,
     assignment: Option<Assignment>,
     lease: Option<Lease>,
+    // Hold the server, and the one from whose cache it fetches.
+    _hold: Option<Hold>,
+    source_hold: Option<Hold>,
 }
 
 impl Slot {
@@ -72,6 +80,7 @@
     }
 
     pub(super) fn finish_prefill(&mut self) {
+        self.source_hold = None;
         if let Some(assignment) = &mut self.assignment {
             self.gateway
                 .balancer
@@ -141,12 +150,7 @@
             if quarantines::find(&self.gateway, &self.content).is_some() {
                 return Err(self.quarantined());
             }
-            let assigned = if self.uses_dispatchers() {
-                self.ask_dispatchers().await
-            } else {
-                self.place()
-            };
-            match assigned {
+            match self.assign_once().await {
                 Ok(slot) => return Ok(slot),
                 Err(balance::Error::Full)
                     if self.gateway.now().after_ms(EXPECTED_RUN_MS) < self.deadline =>
@@ -170,6 +174,28 @@
         }
     }
 
+    /// Takes a slot at a server of the first versions that have one. The reason of those that are used by
+    /// most requests is returned if none has.
+    async fn assign_once(&self) -> Result<Slot, balance::Error> {
+        let is_repeated = !self.tried.borrow().is_empty();
+        let mut result = Err(balance::Error::NoServer);
+        for selection in rollouts::selections(&self.gateway, &self.service, is_repeated) {
+            let assigned = if self.uses_dispatchers() {
+                self.ask_dispatchers(&selection).await
+            } else {
+                self.place(&selection)
+            };
+            match (assigned, &result) {
+                (Ok(slot), _) => return Ok(slot),
+                // Full servers are worth a wait, whatever the others are.
+                (Err(_), Err(balance::Error::Full)) => {}
+                (Err(balance::Error::NoServer), Err(_)) => {}
+                (Err(error), _) => result = Err(error),
+            }
+        }
+        result
+    }
+
     /// Returns the failure of an attempt at a request that was quarantined while it waited for a server.
     pub(super) fn quarantined(&self) -> Error {
         self.is_exhausted.set(true);
@@ -195,20 +221,22 @@
     }
 
     /// Returns whether any server may get the request that hasn't failed it.
-    fn has_untried_server(&self) -> bool {
+    fn has_untried_server(&self, selection: &Selection) -> bool {
         let tried = self.tried.borrow();
         let servers = self.gateway.servers.borrow();
         let mut usable = servers.usable(&self.service);
         usable.any(|server| {
-            self.is_allowed(&server.entry.data_centre) && !tried.contains(&server.entry.id)
+            self.is_allowed(&server.entry.data_centre)
+                && selection.admits(&server.entry)
+                && !tried.contains(&server.entry.id)
         })
     }
 
     /// Has a dispatcher assign a server, that of the preferred region first. This host assigns one
     /// from its own share if no dispatcher of that region answers.
-    async fn ask_dispatchers(&self) -> Result<Slot, balance::Error> {
+    async fn ask_dispatchers(&self, selection: &Selection) -> Result<Slot, balance::Error> {
         let gateway = &self.gateway;
-        if !self.has_untried_server() {
+        if !self.has_untried_server(selection) {
             return Err(balance::Error::NoServer);
         }
         let preferred = self.region.borrow().clone();
@@ -217,11 +245,11 @@
         let mut has_server = false;
         let mut limited = None;
         for region in regions.iter().filter(|region| self.allows_region(region)) {
-            match self.ask_region(region).await {
+            match self.ask_region(region, selection).await {
                 Answer::Granted(grant, lease) => return Ok(self.accept(grant, lease)),
                 Answer::Full => has_server = true,
                 Answer::Limited(wait_ms) => limited = Some(wait_ms),
-                Answer::Silent if *region == preferred => match self.place() {
+                Answer::Silent if *region == preferred => match self.place(selection) {
                     Ok(slot) => return Ok(slot),
                     Err(balance::Error::Limited(wait_ms)) => limited = Some(wait_ms),
                     Err(error) => has_server |= error == balance::Error::Full,
@@ -239,7 +267,7 @@
     /// Asks the dispatchers of a region until one grants a server to which the request may be sent. They
     /// count as silent if they only grant servers that this host knows to be leaving or gone: the store may
     /// not answer them.
-    async fn ask_region(&self, region: &Name) -> Answer {
+    async fn ask_region(&self, region: &Name, selection: &Selection) -> Answer {
         let gateway = &self.gateway;
         let mut declined = Vec::new();
         while declined.len() < MAX_DECLINED {
@@ -248,6 +276,7 @@
                 prompt: self.prompt.clone(),
                 excluded: self.excluded(&declined),
                 remaining_ms: self.deadline.since_ms(gateway.now()),
+                constraint: selection.constraint(),
             };
             let (grant, lease) = match datagrams::ask(gateway, region, &ask).await {
                 Answer::Granted(grant, lease) => (grant, lease),
@@ -294,15 +323,11 @@
         );
         self.log_placed(&assignment, Some(&lease.dispatcher));
         datagrams::record_placement(gateway, &assignment.server, &self.prompt);
-        Slot {
-            gateway: gateway.clone(),
-            assignment: Some(assignment),
-            lease: Some(lease),
-        }
+        self.slot(assignment, Some(lease))
     }
 
     /// Assigns a server from this host's own share of the limits.
-    fn place(&self) -> Result<Slot, balance::Error> {
+    fn place(&self, selection: &Selection) -> Result<Slot, balance::Error> {
         let gateway = &self.gateway;
         let now = gateway.now();
         let overview = gateway.overview();
@@ -330,16 +355,24 @@
             now,
             &gateway.servers.borrow(),
             &request,
-            &|server| self.is_allowed(&server.entry.data_centre),
+            &|server| self.is_allowed(&server.entry.data_centre) && selection.admits(&server.entry),
             &|server| gateway.region_of(&server.entry.data_centre) == *self.region.borrow(),
         )?;
         self.log_placed(&assignment, None);
         datagrams::record_placement(gateway, &assignment.server, &self.prompt);
-        Ok(Slot {
+        Ok(self.slot(assignment, None))
+    }
+
+    fn slot(&self, assignment: Assignment, lease: Option<Lease>) -> Slot {
+        let gateway = &self.gateway;
+        let source = assignment.source.as_ref();
+        Slot {
+            _hold: Hold::new(gateway, &assignment.server),
+            source_hold: source.and_then(|source| Hold::new(gateway, source)),
             gateway: gateway.clone(),
             assignment: Some(assignment),
-            lease: None,
-        })
+            lease,
+        }
     }
 
     fn log_placed(&self, assignment: &Assignment, dispatcher: Option<&Name>) {
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -29,6 +29,7 @@
         Event, //
     },
     quarantines,
+    rollouts::Hold,
     stages, //
 };
 use crate::{
@@ -113,9 +114,18 @@
 struct Results {
     gateway: Rc<Gateway>,
     outputs: RefCell<Vec<(usize, stages::Output)>>,
+    // Hold the servers with the results, by stage.
+    holds: RefCell<Vec<(usize, Vec<Hold>)>>,
 }
 
 impl Results {
+    fn push(&self, stage: usize, output: stages::Output) {
+        let results = output.results.iter();
+        let holds = results.filter_map(|result| stages::hold(&self.gateway, result));
+        self.holds.borrow_mut().push((stage, holds.collect()));
+        self.outputs.borrow_mut().push((stage, output));
+    }
+
     fn free(&self) {
         self.free_where(|_| true);
     }
@@ -125,6 +135,9 @@
         let (used, kept): (Vec<_>, Vec<_>) =
             outputs.into_iter().partition(|(stage, _)| is_used(*stage));
         *self.outputs.borrow_mut() = kept;
+        self.holds
+            .borrow_mut()
+            .retain(|(stage, _)| !is_used(*stage));
         for (_, output) in used {
             stages::free(&self.gateway, output);
         }
@@ -279,6 +292,7 @@
         results: Results {
             gateway: gateway.clone(),
             outputs: RefCell::default(),
+            holds: RefCell::default(),
         },
         inputs: RefCell::default(),
         retry_after_ms: Cell::default(),
--- a/src/shell/gateway/forward/pipeline.rs
+++ b/src/shell/gateway/forward/pipeline.rs
@@ -75,7 +75,7 @@
             };
             let output = result.map_err(|failure| self.refuse_stage(stage, failure))?;
             plan.finish(stage, output.results.clone());
-            self.results.outputs.borrow_mut().push((stage, output));
+            self.results.push(stage, output);
             self.results.free_where(|stage| plan.is_consumed(stage));
         }
         self.stages_ms.set(self.elapsed_ms());
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -36,6 +36,7 @@
         limits,
         log::Progress,
         quarantines,
+        rollouts::Observation,
         upstream::Lease, //
     },
 };
@@ -48,6 +49,7 @@
     pub(super) response: Response<Incoming>,
     pub(super) lease: Lease,
     pub(super) sent_unix_ms: u64,
+    pub(super) observation: Option<Observation>,
 }
 
 impl Exchange {
@@ -58,10 +60,16 @@
         &self,
         slot: Slot,
         entry: &Entry,
-        received: Received,
+        mut received: Received,
         may_have_run_before: bool,
         resume: Option<u64>,
     ) -> Result<Answer, Error> {
+        let observation = received.observation.take();
+        let finish = |observation: Option<Observation>, failed: bool| {
+            if let Some(observation) = observation {
+                observation.finish(failed);
+            }
+        };
         let response = &received.response;
         let server = slot.server();
         let names = self.gateway.adapter.headers();
@@ -77,6 +85,7 @@
         // request, so its connection isn't used again.
         let is_named = !echo.is_empty();
         if !echo.is_empty() && echo != &*self.id {
+            finish(observation, true);
             slot.release(true);
             return Err(failure(
                 Outcome::Lost,
@@ -91,6 +100,7 @@
         }
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
             self.may_have_run.set(may_have_run_before);
+            observation.map(Observation::discard);
             let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
             if body.collect().await.is_ok() && is_named {
                 received.lease.finish();
@@ -104,6 +114,7 @@
         let is_signed = response.headers().contains_key(&names.signature);
         let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
         if status.is_success() && (!is_signed || is_encoded || echo.is_empty()) {
+            finish(observation, true);
             slot.release(true);
             return Err(failure(
                 Outcome::Lost,
@@ -111,12 +122,14 @@
             ));
         }
         if self.route.kind.is_stream() && status.is_success() {
+            received.observation = observation;
             return self.receive_stream(slot, received, resume).await;
         }
         let Received {
             response,
             lease,
             sent_unix_ms,
+            ..
         } = received;
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
@@ -124,6 +137,7 @@
                 if is_named {
                     lease.finish();
                 }
+                finish(observation, status.is_server_error());
                 slot.release(status.is_server_error());
                 if status.is_success() {
                     quarantines::observe_answer(&self.gateway, sent_unix_ms, &self.content);
@@ -131,6 +145,7 @@
                 Ok(Answer::Whole(Response::from_parts(head, body.to_bytes())))
             }
             Err(error) => {
+                finish(observation, true);
                 slot.release(true);
                 Err(failure(Outcome::Lost, format!("answer broke off: {error}")))
             }
@@ -153,6 +168,7 @@
             slot,
             sent_unix_ms: received.sent_unix_ms,
             begun_at: self.gateway.now(),
+            observation: received.observation,
             framer: Framer::resume_after(resume),
         };
         match source.next().await {
@@ -175,6 +191,7 @@
             }
             // A server that crashes may end its connection like one that has sent all.
             Chunk::End if is_unframed && resume.is_none() => {
+                source.finish_observation(true);
                 source.slot.release(true);
                 Err(Error {
                     outcome: Outcome::Lost,
@@ -183,8 +200,12 @@
                     progress: Progress::Head,
                 })
             }
-            Chunk::End => Ok(Answer::Whole(Response::from_parts(head, Bytes::new()))),
+            Chunk::End => {
+                source.finish_observation(false);
+                Ok(Answer::Whole(Response::from_parts(head, Bytes::new())))
+            }
             Chunk::Lost(reason) => {
+                source.finish_observation(true);
                 source.slot.release(true);
                 Err(Error {
                     outcome: Outcome::Lost,
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -35,6 +35,10 @@
             Progress, //
         },
         quarantines,
+        rollouts::{
+            self,
+            Observation, //
+        },
         upstream::{
             self,
             Reuse, //
@@ -136,6 +140,14 @@
         // The request may run from here on, unless the response says otherwise. The flag has to be
         // set before the wait, which a deadline can cancel.
         let sent_unix_ms = clock::unix_ms();
+        rollouts::record_sent(&self.gateway, entry);
+        let observation = Observation::begin(
+            &self.gateway,
+            entry,
+            &self.route.name,
+            self.deadline,
+            resume.is_some(),
+        );
         let may_have_run_before = self.may_have_run.replace(true);
         let sent = self
             .gateway
@@ -152,10 +164,12 @@
             Ok(sent) => sent,
             Err(upstream::Error::NotSent(reason)) => {
                 self.may_have_run.set(may_have_run_before);
+                observation.map(Observation::discard);
                 slot.release(true);
                 return Err(failure(Outcome::NotSent, reason));
             }
             Err(upstream::Error::Lost(reason)) => {
+                observation.map(|it| it.finish(true));
                 slot.release(true);
                 return Err(failure(Outcome::Lost, reason));
             }
@@ -164,6 +178,7 @@
             response,
             lease,
             sent_unix_ms,
+            observation,
         };
         self.receive(slot, entry, reply, may_have_run_before, resume)
             .await
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -24,6 +24,7 @@
             Progress, //
         },
         quarantines,
+        rollouts::Observation,
         upstream::Lease, //
     },
     time::Instant,
@@ -56,6 +57,8 @@
     pub(super) sent_unix_ms: u64,
     /// When its first events arrived.
     pub(super) begun_at: Instant,
+    /// What its version is judged by.
+    pub(super) observation: Option<Observation>,
     pub(super) framer: Framer,
 }
 
@@ -71,6 +74,13 @@
 }
 
 impl Source {
+    /// Records the end of the answer, or its failure, as evidence on the server's version.
+    pub(super) fn finish_observation(&mut self, failed: bool) {
+        if let Some(observation) = self.observation.take() {
+            observation.finish(failed);
+        }
+    }
+
     pub(super) async fn next(&mut self) -> Chunk {
         loop {
             let frame = match self.body.frame().await {
@@ -140,6 +150,7 @@
         let events = match source.next().await {
             Chunk::Events(events) => events,
             Chunk::End => {
+                source.finish_observation(false);
                 let sent_unix_ms = source.sent_unix_ms;
                 quarantines::observe_answer(&exchange.gateway, sent_unix_ms, &exchange.content);
                 return End::Complete;
@@ -159,7 +170,12 @@
 }
 
 /// Resumes the stream at another server after the last complete event, if the route allows it.
-async fn resume(exchange: &Rc<Exchange>, lost: Source, reason: &str) -> Option<(Source, Bytes)> {
+async fn resume(
+    exchange: &Rc<Exchange>,
+    mut lost: Source,
+    reason: &str,
+) -> Option<(Source, Bytes)> {
+    lost.finish_observation(true);
     let last = lost.framer.last_id();
     let server = lost.slot.server();
     let is_beginning = exchange.gateway.now().since_ms(lost.begun_at) < BEGINNING_MS;
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -308,6 +308,25 @@
         /// Duration.
         ms: u64,
     },
+    /// A step of a rollout.
+    Rollout {
+        /// The service.
+        service: &'a Name,
+        /// The version of the order.
+        target: &'a Name,
+        /// Id of the order.
+        order: u64,
+        /// The step.
+        step: &'a str,
+        /// What it is based on.
+        detail: &'a str,
+        /// Requests that this host sent to the service since it learned of the order.
+        sent: u64,
+        /// Those of them that went to the target.
+        sent_to_target: u64,
+        /// Time since the order, as far as this host knows.
+        age_ms: u64,
+    },
     /// A batched call ended.
     Batch {
         /// The service.
@@ -424,6 +443,20 @@
             Event::Host { name, serving } => {
                 slog::info!(log, "host"; "name" => %name, "serving" => serving);
             }
+            Event::Rollout {
+                service,
+                target,
+                order,
+                step,
+                detail,
+                sent,
+                sent_to_target,
+                age_ms,
+            } => {
+                slog::info!(log, "rollout"; "service" => %service, "target" => %target,
+                    "order" => format!("{order:016x}"), "step" => step, "detail" => detail,
+                    "sent" => sent, "sent_to_target" => sent_to_target, "age_ms" => age_ms);
+            }
             request => self.write_request(request),
         }
     }
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -33,6 +33,13 @@
     pub declined_grants: Counter<u64>,
     /// Servers that announced in an answer that they leave.
     pub departures: Counter<u64>,
+    /// Requests and calls with pieces to services with open orders, by service and whether the target got
+    /// them.
+    pub rollout_sent: Counter<u64>,
+    /// Answers that are evidence on a version, by service, whether they are the target's, and failure.
+    pub rollout_answers: Counter<u64>,
+    /// Phases of rollouts that this host adopted, by service and phase.
+    pub rollout_phases: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
 }
@@ -57,6 +64,9 @@
             crashes: counter("gateway_crashes"),
             declined_grants: counter("gateway_declined_grants"),
             departures: counter("gateway_departures"),
+            rollout_sent: counter("gateway_rollout_sent"),
+            rollout_answers: counter("gateway_rollout_answers"),
+            rollout_phases: counter("gateway_rollout_phases"),
             store_calls: counter("gateway_store_calls"),
             exporter,
         })
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -69,6 +69,7 @@
 mod overview;
 mod peers;
 mod quarantines;
+mod rollouts;
 mod stages;
 mod store;
 mod upstream;
@@ -125,6 +126,7 @@
     stage_limiter: RefCell<Limiter>,
     pool: Rc<upstream::Pool>,
     store: store::State,
+    rollouts: rollouts::State,
     /// Key with which other hosts seal their messages to this host.
     key: OnceCell<Key>,
     /// Number of running requests.
@@ -179,7 +181,7 @@
     fn usable_entry(&self, id: &Name) -> Option<servers::Entry> {
         let servers = self.servers.borrow();
         let server = servers.usable_by_id(id)?;
-        Some(server.entry.clone())
+        rollouts::may_send(self, &server.entry).then(|| server.entry.clone())
     }
 
     /// Returns the registration of a server.
@@ -229,6 +231,7 @@
     tokio::task::spawn_local(peers::probe_suspects(gateway.clone()));
     tokio::task::spawn_local(peers::fetch_state(gateway.clone()));
     tokio::task::spawn_local(tick(gateway.clone()));
+    tokio::task::spawn_local(rollouts::run(gateway.clone()));
     tokio::task::spawn_local(reload(gateway.clone(), read));
     let mut terminate = signal(SignalKind::terminate()).context("can't catch SIGTERM")?;
     terminate.recv().await;
@@ -274,6 +277,7 @@
         stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
         pool: upstream::Pool::new(clock),
         store: store::State::default(),
+        rollouts: rollouts::State::default(),
         key: OnceCell::new(),
         running: Cell::default(),
         buffered_bytes: Cell::default(),
--- a/src/shell/gateway/peers/bootstrap.rs
+++ b/src/shell/gateway/peers/bootstrap.rs
@@ -25,6 +25,7 @@
         forward::Body,
         front::with_status,
         log::Event,
+        rollouts,
         store, //
     },
 };
@@ -111,6 +112,7 @@
         staleness_ms: gateway.store.staleness_ms(now),
         timeline: gateway.store.timeline(),
         config,
+        orders: rollouts::order_records(gateway),
         drained: servers.drained().iter().cloned().collect(),
         servers: servers.entries(now),
         hosts: hosts
--- a/src/shell/gateway/peers/message.rs
+++ b/src/shell/gateway/peers/message.rs
@@ -196,6 +196,8 @@
     },
     /// Writes a heartbeat.
     Heartbeat(Box<Heartbeat>),
+    /// Writes the state of a rollout if the topic of states ends at an offset.
+    Status { record: Record, at: u64 },
 }
 
 /// A successful answer of the store.
@@ -217,6 +219,8 @@
     Gone,
     /// The store did not answer this host either.
     Failed,
+    /// The topic ends at another offset, so nothing was written.
+    Conflict,
 }
 
 /// Requests the records that a host read recently from a topic.
@@ -247,6 +251,8 @@
     pub(in crate::shell::gateway) timeline: u64,
     /// The operators' record with the configuration, as it is stored.
     pub(in crate::shell::gateway) config: Record,
+    /// The operators' records with orders to roll versions out, as they are stored.
+    pub(in crate::shell::gateway) orders: Vec<Record>,
     /// Data centres that are drained.
     pub(in crate::shell::gateway) drained: Vec<Name>,
     /// Backend servers.
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -11,13 +11,15 @@
 use bytes::Bytes;
 use http::{
     HeaderValue,
-    Request, //
+    Request,
+    Response, //
 };
 use http_body_util::{
     BodyExt,
     Full,
     Limited, //
 };
+use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use tokio::sync::oneshot;
 
@@ -25,6 +27,11 @@
     Gateway, SERVER_UNUSABLE, clock, departures, limits,
     log::Event,
     peers,
+    rollouts::{
+        self,
+        Hold,
+        Observation, //
+    },
     upstream::{
         self,
         Reuse, //
@@ -43,7 +50,10 @@
             Role,
             Stages, //
         },
-        servers::Server,
+        servers::{
+            Entry,
+            Server, //
+        },
     },
     edges::{
         self,
@@ -85,6 +95,13 @@
     pub(super) tickets: Vec<Ticket>,
 }
 
+impl Batcher {
+    /// Returns the number of calls in progress and of results of this host at a server.
+    pub(in crate::shell::gateway) fn uses(&self, server: &str) -> usize {
+        self.queue.borrow().uses(server)
+    }
+}
+
 impl Drop for CancelGuard<'_> {
     fn drop(&mut self) {
         for &ticket in &self.tickets {
@@ -165,9 +182,9 @@
         complete_piece(gateway, batcher, ticket, Err(Failure::Late));
     }
     loop {
-        let open = servers_below_rate(gateway, &servers);
-        let call = batcher.queue.borrow_mut().next_call(now, &stages, &open);
+        let call = next_call(gateway, batcher, &stages, &servers);
         let Some(call) = call else { break };
+        let hold = Hold::new(gateway, &call.server);
         let mut limiter = gateway.stage_limiter.borrow_mut();
         limiter.record(now, &call.server);
         drop(limiter);
@@ -175,11 +192,37 @@
         let batcher = batcher.clone();
         tokio::task::spawn_local(async move {
             run_call(&gateway, &batcher, stages, call).await;
+            drop(hold);
             dispatch(&gateway, &batcher);
         });
     }
 }
 
+/// Returns the next call: for a trial of a new version if one is due, otherwise for the servers that are used.
+fn next_call(
+    gateway: &Gateway,
+    batcher: &Batcher,
+    stages: &Stages,
+    servers: &[Name],
+) -> Option<Call> {
+    let now = gateway.now();
+    let trial = rollouts::trial_servers(gateway, &batcher.service);
+    let local = trial.filter(|trial| !trial.is_empty()).map(|trial| {
+        let own = &gateway.identity.data_centre;
+        servers_where(gateway, &batcher.service, |server| {
+            trial.contains(&server.entry.id) && server.entry.data_centre == *own
+        })
+    });
+    for servers in local.as_deref().into_iter().chain([servers]) {
+        let open = servers_below_rate(gateway, servers);
+        let call = batcher.queue.borrow_mut().next_call(now, stages, &open);
+        if call.is_some() {
+            return call;
+        }
+    }
+    None
+}
+
 /// Returns the servers that may get a call now, by the rates that they name.
 fn servers_below_rate(gateway: &Gateway, servers: &[Name]) -> Vec<Name> {
     let now = gateway.now();
@@ -195,23 +238,35 @@
 
 /// Returns the servers of a service that this host uses: those of its data centre, otherwise those
 /// of its region, otherwise all.
-pub(super) fn eligible_servers(gateway: &Gateway, service: &str) -> Vec<Name> {
-    let local = local_servers(gateway, service);
-    if !local.is_empty() {
-        return local;
-    }
-    let in_region = servers_where(gateway, service, |server| {
-        gateway.region_of(&server.entry.data_centre) == gateway.identity.region
-    });
-    if !in_region.is_empty() {
-        return in_region;
+pub(super) fn eligible_servers(gateway: &Gateway, service: &Name) -> Vec<Name> {
+    let own = &gateway.identity;
+    let is_local = |server: &Server| server.entry.data_centre == own.data_centre;
+    let is_near = |server: &Server| gateway.region_of(&server.entry.data_centre) == own.region;
+    let scopes: [&dyn Fn(&Server) -> bool; 3] = [&is_local, &is_near, &|_| true];
+    for selection in rollouts::selections(gateway, service, true) {
+        for is_wanted in scopes {
+            let servers = servers_where(gateway, service, |server| {
+                is_wanted(server) && selection.admits(&server.entry)
+            });
+            if !servers.is_empty() {
+                return servers;
+            }
+        }
     }
-    servers_where(gateway, service, |_| true)
+    Vec::new()
 }
 
-pub(super) fn local_servers(gateway: &Gateway, service: &str) -> Vec<Name> {
+/// Returns the servers of a service in this data centre whose versions are used.
+pub(super) fn local_servers(gateway: &Gateway, service: &Name) -> Vec<Name> {
     let own = &gateway.identity.data_centre;
-    servers_where(gateway, service, |server| server.entry.data_centre == *own)
+    let selections = rollouts::selections(gateway, service, true);
+    let selected = selections.iter().map(|selection| {
+        servers_where(gateway, service, |server| {
+            server.entry.data_centre == *own && selection.admits(&server.entry)
+        })
+    });
+    let mut used = selected.filter(|servers| !servers.is_empty());
+    used.next().unwrap_or_default()
 }
 
 fn servers_where(
@@ -252,6 +307,8 @@
 /// Outcome of a call with pieces.
 pub(super) enum Completion {
     Results(Vec<Result<Name, Failure>>),
+    /// The server's version may no longer get the call, which was not sent.
+    Withheld,
     NotRun(&'static str),
     Failed(String),
 }
@@ -269,17 +326,21 @@
     }
 }
 
+fn call_timeout_ms(stages: &Stages, call: &Call) -> u64 {
+    let expected_ms = stages.call_ms + stages.piece_ms * call.pieces.len() as f64;
+    (expected_ms * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK_MS) as u64
+}
+
 pub(super) async fn run_call(gateway: &Rc<Gateway>, batcher: &Batcher, stages: Stages, call: Call) {
     let start = gateway.now();
-    let expected_ms = stages.call_ms + stages.piece_ms * call.pieces.len() as f64;
-    let timeout_after =
-        Duration::from_millis((expected_ms * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_SLACK_MS) as u64);
-    let completion = tokio::time::timeout(timeout_after, send(gateway, batcher, &call))
+    let timeout_after = Duration::from_millis(call_timeout_ms(&stages, &call));
+    let completion = tokio::time::timeout(timeout_after, send(gateway, batcher, &stages, &call))
         .await
         .unwrap_or_else(|_| Completion::Failed("no answer in time".to_string()));
     let now = gateway.now();
     let (outcome, failed) = match &completion {
         Completion::Results(_) => ("done", false),
+        Completion::Withheld => ("version not used", true),
         Completion::NotRun(reason) => (*reason, true),
         Completion::Failed(reason) => (reason.as_str(), true),
     };
@@ -298,9 +359,10 @@
         ms: now.since_ms(start),
     });
     let server_is_full = completion.no_room_count() > 0;
+    let is_withheld = matches!(completion, Completion::Withheld);
     let results = match completion {
         Completion::Results(results) => results,
-        Completion::NotRun(_) | Completion::Failed(_) => {
+        Completion::Withheld | Completion::NotRun(_) | Completion::Failed(_) => {
             vec![Err(Failure::Failed); call.pieces.len()]
         }
     };
@@ -321,6 +383,7 @@
         let should_retry = match result {
             // The piece did not run, so this takes none of its attempts. It expires at its deadline.
             Err(Failure::NoRoom) => batcher.waiters.borrow().contains_key(&ticket),
+            Err(Failure::Failed) if is_withheld => batcher.waiters.borrow().contains_key(&ticket),
             Err(Failure::Failed) => take_retry(gateway, batcher, ticket),
             _ => false,
         };
@@ -351,10 +414,21 @@
         .try_take(now, &batcher.service, hosts)
 }
 
-pub(super) async fn send(gateway: &Gateway, batcher: &Batcher, call: &Call) -> Completion {
+pub(super) async fn send(
+    gateway: &Rc<Gateway>,
+    batcher: &Batcher,
+    stages: &Stages,
+    call: &Call,
+) -> Completion {
     let now = gateway.now();
     let Some(entry) = gateway.usable_entry(&call.server) else {
-        return Completion::NotRun(SERVER_UNUSABLE);
+        let entry = gateway.server_entry(&call.server);
+        let is_withheld = entry.is_some_and(|entry| !rollouts::may_send(gateway, &entry));
+        return if is_withheld {
+            Completion::Withheld
+        } else {
+            Completion::NotRun(SERVER_UNUSABLE)
+        };
     };
     let address = entry.address;
     let sent_unix_ms = clock::unix_ms();
@@ -372,6 +446,10 @@
     let Some(request) = request else {
         return Completion::NotRun("no request");
     };
+    let deadline = now.after_ms(call_timeout_ms(stages, call));
+    rollouts::record_sent(gateway, &entry);
+    // Calls with pieces of all routes share the service's name as their route.
+    let observation = Observation::begin(gateway, &entry, &batcher.service, deadline, false);
     let sent = gateway.pool.send(
         &call.server,
         address,
@@ -379,15 +457,37 @@
         Reuse::Any,
         upstream::UNLIMITED, //
     );
+    let completion = exchange(gateway, batcher, call, &entry, sent_unix_ms, sent).await;
+    if let Some(observation) = observation {
+        match &completion {
+            Completion::Results(results) => {
+                observation.finish(results.contains(&Err(Failure::Failed)));
+            }
+            Completion::Failed(_) => observation.finish(true),
+            Completion::Withheld | Completion::NotRun(_) => observation.discard(),
+        }
+    }
+    completion
+}
+
+/// Awaits the answer to a call and checks it.
+async fn exchange(
+    gateway: &Gateway,
+    batcher: &Batcher,
+    call: &Call,
+    entry: &Entry,
+    sent_unix_ms: u64,
+    sent: impl Future<Output = Result<(Response<Incoming>, upstream::Lease), upstream::Error>>,
+) -> Completion {
     let (response, lease) = match sent.await {
         Ok(sent) => sent,
         Err(error) => return Completion::Failed(error.to_string()),
     };
-    departures::observe(gateway, &entry, response.status(), response.headers());
+    departures::observe(gateway, entry, response.status(), response.headers());
     let status = response.status().as_u16();
     // Another server than the one expected answers 421.
     if status != 421 {
-        limits::observe(gateway, &entry, sent_unix_ms, response.headers());
+        limits::observe(gateway, entry, sent_unix_ms, response.headers());
     }
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
     let body = match body.await {
--- a/src/shell/gateway/stages/mod.rs
+++ b/src/shell/gateway/stages/mod.rs
@@ -15,6 +15,7 @@
         self,
         Reply, //
     },
+    rollouts::Hold, //
 };
 use crate::{
     core::gateway::{
@@ -151,6 +152,13 @@
     Some(server.entry.data_centre.clone())
 }
 
+/// Holds the server with a result: it is needed until the result is freed.
+pub(super) fn hold(gateway: &Rc<Gateway>, result: &str) -> Option<Hold> {
+    let holder = gateway.adapter.holder(result)?;
+    let server = gateway.servers.borrow().by_address(holder)?;
+    Hold::new(gateway, &server)
+}
+
 async fn ask_owner(
     gateway: &Rc<Gateway>,
     address: SocketAddr,
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -10,7 +10,8 @@
     limits,
     log::Event,
     peers::Snapshot,
-    quarantines, //
+    quarantines,
+    rollouts, //
 };
 use crate::{
     core::gateway::{
@@ -47,7 +48,10 @@
     let state = &gateway.store;
     state.learn_timeline(snapshot.timeline);
     if !state.has_read(Topic::Operator) {
-        apply_directive(gateway, &snapshot.config);
+        apply_directive(gateway, &snapshot.config, Origin::Newest);
+        for order in &snapshot.orders {
+            apply_directive(gateway, order, Origin::Newest);
+        }
         let out = gateway.servers.borrow().drained().clone();
         for name in out.iter().filter(|name| !snapshot.drained.contains(name)) {
             set_drained(gateway, name, false);
@@ -64,6 +68,7 @@
             .collect();
         for entry in snapshot.servers {
             let id = entry.id.clone();
+            rollouts::see(gateway, &entry, !state.has_servers.get());
             let change = gateway
                 .servers
                 .borrow_mut()
@@ -100,6 +105,12 @@
                     .any(|key| key.rsplit('/').next() == Some(name.as_str()))
             };
             let now = gateway.now();
+            // Operators repeat what a copy of the store lacks, so its orders stay in force.
+            if origin != Origin::Copy {
+                for service in rollouts::missing_orders(gateway, keys) {
+                    rollouts::withdraw(gateway, &service);
+                }
+            }
             for name in out.iter().filter(|name| !is_kept(name)) {
                 if origin == Origin::Copy {
                     gateway.servers.borrow_mut().lose_drain(now, name);
@@ -109,7 +120,7 @@
             }
             return;
         }
-        Topic::Hosts => return,
+        Topic::Hosts | Topic::Status => return,
     };
     for key in known.into_iter().filter(|key| !keys.contains(key)) {
         apply(gateway, topic, vec![Record { key, value: None }], origin);
@@ -117,23 +128,28 @@
 }
 
 pub(super) fn apply(gateway: &Gateway, topic: Topic, records: Vec<Record>, origin: Origin) {
+    if topic == Topic::Status {
+        return rollouts::apply_statuses(gateway, &records, origin != Origin::Log);
+    }
     for record in &records {
         match topic {
-            Topic::Operator => apply_directive(gateway, record),
+            Topic::Operator => apply_directive(gateway, record, origin),
             Topic::Servers => apply_server(gateway, record, origin),
             Topic::Hosts => apply_host(gateway, record, origin),
+            // Handled above, all records at once.
+            Topic::Status => {}
         }
     }
 }
 
-pub(super) fn report_bad_record(gateway: &Gateway, key: &Name, error: String) {
+pub(in crate::shell::gateway) fn report_bad_record(gateway: &Gateway, key: &Name, error: String) {
     // Logged once for each key: a server writes the same invalid record again and again.
     if gateway.store.bad_keys.borrow_mut().insert(key.clone()) {
         gateway.log.write(&Event::BadRecord { key, error });
     }
 }
 
-pub(super) fn apply_directive(gateway: &Gateway, record: &Record) {
+pub(super) fn apply_directive(gateway: &Gateway, record: &Record, origin: Origin) {
     match gateway.adapter.directive(record) {
         Ok(Directive::Config(config)) => {
             if activate_config(gateway, *config) {
@@ -144,6 +160,10 @@
             data_centre,
             drained,
         }) => set_drained(gateway, &data_centre, drained),
+        Ok(Directive::Rollout { service, order }) => {
+            let is_new = origin == Origin::Log;
+            rollouts::apply_order(gateway, &service, order, record, is_new);
+        }
         Ok(Directive::Other) => {}
         Err(error) => report_bad_record(gateway, &record.key, error.to_string()),
     }
@@ -182,6 +202,9 @@
             None
         }
     };
+    if let Some(entry) = &entry {
+        rollouts::see(gateway, entry, !gateway.store.has_servers.get());
+    }
     let mut servers = gateway.servers.borrow_mut();
     let change = if origin == Origin::Copy {
         servers.restore(now, &record.key, entry)
@@ -213,6 +236,9 @@
     for limit in &heartbeat.limits {
         limits::merge(gateway, limit.clone());
     }
+    if heartbeat.host != gateway.identity.host {
+        rollouts::merge_heartbeat(gateway, heartbeat);
+    }
 }
 
 pub(super) fn apply_host(gateway: &Gateway, record: &Record, origin: Origin) {
--- a/src/shell/gateway/store/catch_up.rs
+++ b/src/shell/gateway/store/catch_up.rs
@@ -9,7 +9,10 @@
     time::Duration, //
 };
 
-use super::apply::apply_directive;
+use super::apply::{
+    Origin,
+    apply_directive, //
+};
 use crate::shell::gateway::{
     Gateway,
     log::Event,
@@ -57,6 +60,6 @@
         error,
     });
     if let Ok(Some(record)) = result {
-        apply_directive(gateway, &record);
+        apply_directive(gateway, &record, Origin::Newest);
     }
 }
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -38,6 +38,7 @@
             Relayed, //
         },
         quarantines,
+        rollouts, //
     },
 };
 
@@ -127,7 +128,7 @@
         let timeout_ms = GATHER_MS + CALL_TIMEOUT_MS;
         match peers::relay(gateway, address, &message, timeout_ms).await {
             Ok(Relayed::Answer(_) | Relayed::Written) => return Ok(()),
-            Ok(Relayed::Gone | Relayed::Failed) => is_refused = true,
+            Ok(Relayed::Gone | Relayed::Failed | Relayed::Conflict) => is_refused = true,
             Err(error) => gateway.suspect(&name, &error),
         }
     }
@@ -180,6 +181,7 @@
         capacity: gateway.options.borrow().process.processor,
         report: quarantines::heartbeat_report(gateway),
         limits: gateway.limits.borrow().report(),
+        rollouts: rollouts::heartbeat_rollouts(gateway),
     }
 }
 
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -28,6 +28,7 @@
         Relayed,
         Shared, //
     },
+    rollouts,
     upstream, //
 };
 use crate::{
@@ -54,18 +55,26 @@
 mod catch_up;
 mod heartbeats;
 mod shared;
+mod statuses;
 
-pub(super) use apply::apply_snapshot;
 use apply::{
     Origin,
     apply,
     remove_missing, //
 };
+pub(super) use apply::{
+    apply_snapshot,
+    report_bad_record, //
+};
 pub(super) use heartbeats::{
     announce_leave,
     hasten as hasten_heartbeat, //
 };
 pub(super) use shared::recent;
+pub(super) use statuses::{
+    read as read_statuses,
+    write as write_status, //
+};
 
 /// Maximum duration of a long poll for the operators' next record, in milliseconds. Short, so that a
 /// dead connection is detected well within the time that a change may take.
@@ -110,6 +119,10 @@
 /// Status of a read from an offset that the store no longer keeps.
 const GONE: u16 = 410;
 
+/// Status of a write whose topic ends at another offset than it requires.
+const CONFLICT: u16 = 412;
+
+/// Topics that are always followed. That of rollouts' states is read only while an order is open.
 const TOPICS: [Topic; 3] = [Topic::Operator, Topic::Servers, Topic::Hosts];
 
 /// Where the knowledge of a topic comes from.
@@ -222,6 +235,11 @@
         is_due
     }
 
+    /// Returns the incarnation of this host, unique to each start.
+    pub(super) fn incarnation(&self) -> u64 {
+        self.incarnation.get()
+    }
+
     /// Returns the timeline of the newest answer.
     pub(super) fn timeline(&self) -> u64 {
         self.timeline.get()
@@ -263,6 +281,7 @@
     for topic in TOPICS {
         tokio::task::spawn_local(follow(gateway.clone(), topic));
     }
+    tokio::task::spawn_local(follow(gateway.clone(), Topic::Status));
     tokio::task::spawn_local(heartbeats::run(gateway.clone()));
 }
 
@@ -284,7 +303,7 @@
             Ok(Relayed::Written) => return Ok(None),
             Ok(Relayed::Gone) => return Err(Error::Status(GONE)),
             // The error of the direct call is returned, not those of the relays.
-            Ok(Relayed::Failed) | Err(_) => {}
+            Ok(Relayed::Failed | Relayed::Conflict) | Err(_) => {}
         }
     }
     Err(error)
@@ -317,7 +336,7 @@
 /// Calls the store for another host.
 pub(super) async fn relay(gateway: &Rc<Gateway>, relay: Relay) -> Relayed {
     let limit_ms = match &relay {
-        Relay::Newest { .. } => CALL_TIMEOUT_MS,
+        Relay::Newest { .. } | Relay::Status { .. } => CALL_TIMEOUT_MS,
         Relay::Tail { wait_ms, .. } => (*wait_ms).min(LONG_POLL_MS) + CALL_TIMEOUT_MS,
         Relay::Heartbeat(heartbeat) => {
             let is_written = heartbeats::gather(gateway, (**heartbeat).clone()).await;
@@ -331,6 +350,7 @@
     match call_directly(gateway, &relay, limit_ms).await {
         Ok(answer) => Relayed::Answer(answer),
         Err(Error::Status(GONE)) => Relayed::Gone,
+        Err(Error::Status(CONFLICT)) => Relayed::Conflict,
         Err(_) => Relayed::Failed,
     }
 }
@@ -347,6 +367,9 @@
         Relay::Heartbeat(heartbeat) => {
             adapter.append(Topic::Hosts, &[heartbeats::record(heartbeat)?])
         }
+        Relay::Status { record, at } => {
+            adapter.append_at(Topic::Status, std::slice::from_ref(record), *at)
+        }
     };
     exchange_within(gateway, call, limit_ms).await
 }
@@ -399,6 +422,11 @@
     let mut failures: u64 = 0;
     let mut reads: u32 = 0;
     loop {
+        if topic == Topic::Status && !rollouts::is_any_open(&gateway) {
+            from = None;
+            gateway.store.failing_topics.borrow_mut().remove(&topic);
+            gateway.rollouts.opened.notified().await;
+        }
         // An answer for another topic shows as well that the store returned from a copy.
         from = from.filter(|from| from.timeline == gateway.store.timeline());
         let step = match from {
@@ -433,7 +461,7 @@
 /// Returns the pause between two reads of a topic, in milliseconds.
 fn pause_ms(topic: Topic, reads: u32, is_reader: bool) -> u64 {
     match topic {
-        Topic::Operator => 0,
+        Topic::Operator | Topic::Status => 0,
         Topic::Hosts if reads <= STARTUP_READS => STARTUP_READ_INTERVAL_MS,
         Topic::Servers => READ_INTERVAL_MS,
         // Hosts that read from this one add a pause of their own.
@@ -490,10 +518,12 @@
         Topic::Operator => "store: operators",
         Topic::Servers => "store: servers",
         Topic::Hosts => "store: hosts",
+        Topic::Status => "store: rollouts",
     }
 }
 
-async fn load(gateway: &Gateway, topic: Topic) -> Result<Position, Error> {
+/// Reads the newest value of each key of a topic, and the position after them.
+async fn newest(gateway: &Gateway, topic: Topic) -> Result<(Vec<Record>, Position), Error> {
     let mut records = Vec::new();
     let mut after: Option<Name> = None;
     let mut from: Option<Position> = None;
@@ -523,7 +553,11 @@
             break;
         }
     }
-    let from = from.unwrap_or_default();
+    Ok((records, from.unwrap_or_default()))
+}
+
+async fn load(gateway: &Gateway, topic: Topic) -> Result<Position, Error> {
+    let (records, from) = newest(gateway, topic).await?;
     let keys: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
     let now = gateway.now();
     let (before, origin) = gateway.store.read_from_start(now, topic, from.timeline);
@@ -533,8 +567,11 @@
         Topic::Operator => {}
         Topic::Servers => gateway.store.has_servers.set(true),
         Topic::Hosts => heartbeats::ensure_key(gateway),
+        Topic::Status => {}
+    }
+    if topic != Topic::Status {
+        gateway.store.loaded_topics.borrow_mut().insert(topic);
     }
-    gateway.store.loaded_topics.borrow_mut().insert(topic);
     gateway.log.write(&Event::Position {
         topic: topic_name(topic),
         position: from,
--- a/src/shell/gateway/store/shared.rs
+++ b/src/shell/gateway/store/shared.rs
@@ -46,14 +46,14 @@
 /// have to reach all hosts fast, and seldom change. Those of the other topics change all the time.
 fn wait_ms(topic: Topic) -> u64 {
     match topic {
-        Topic::Operator => FETCH_WAIT_MS,
+        Topic::Operator | Topic::Status => FETCH_WAIT_MS,
         Topic::Servers | Topic::Hosts => 0,
     }
 }
 
 fn stale_ms(topic: Topic) -> u64 {
     match topic {
-        Topic::Operator => OPERATOR_STALE_MS,
+        Topic::Operator | Topic::Status => OPERATOR_STALE_MS,
         Topic::Servers | Topic::Hosts => STALE_MS,
     }
 }
--- a/tests/core/gateway/dispatch.rs
+++ b/tests/core/gateway/dispatch.rs
@@ -15,6 +15,7 @@
         },
         dispatch::{
             Ask,
+            Constraint,
             DISPATCHERS,
             DIVIDED_PERCENT,
             Dispatcher,
@@ -62,6 +63,7 @@
         prompt: vec![part(session, 3_800), part(own, 2_900)],
         excluded: Vec::new(),
         remaining_ms: 6_000,
+        constraint: Constraint::Any,
     }
 }
 
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -30,6 +30,7 @@
         capacity: 250,
         report: Report::default(),
         limits: Vec::new(),
+        rollouts: Vec::new(),
     }
 }
 
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -48,6 +48,7 @@
         cold_ms: 0,
         started_at: Some(1),
         sequence: None,
+        version: None,
     }
 }
 
