--- a/src/shell/gateway/rollouts/deciding.rs
+++ b/src/shell/gateway/rollouts/deciding.rs
@@ -117,7 +117,7 @@
     if actions.is_empty() {
         return;
     }
-    let verdict = format!("{:?}", decider.verdict());
+    let verdict = format!("{:?}, {:?}", decider.cause(), decider.verdict());
     for action in &actions {
         match action {
             Action::Read => {}
@@ -189,6 +189,8 @@
                     rollout.announcement = Some((phase, is_written));
                 }
                 adopt_phase(gateway, service, now, phase, is_written);
+                // For hosts that datagrams don't reach.
+                store::hasten_heartbeat(gateway);
             }
         }
     }
--- a/src/shell/gateway/rollouts/mod.rs
+++ b/src/shell/gateway/rollouts/mod.rs
@@ -81,6 +81,10 @@
 /// Interval of reports while an order is open, in milliseconds.
 const INTERVAL_MS: u64 = 250;
 
+/// Interval at which all servers are searched for versions, in milliseconds. New servers are seen as they
+/// join, so this only shows which versions have gone.
+const VERSION_INTERVAL_MS: u64 = 1_000;
+
 /// Interval of decisions at the deciding host, in milliseconds.
 const DECISION_INTERVAL_MS: u64 = 125;
 
@@ -206,7 +210,7 @@
         service.seen_at.retain(|version, seen_at| {
             let is_kept = now.since_ms(*seen_at) < VERSION_RETENTION_MS;
             if !is_kept {
-                versions.forget(version);
+                versions.forget(now, version);
             }
             is_kept
         });
@@ -241,7 +245,7 @@
         if !(is_new && rollout.is_settled) {
             return;
         }
-        known.versions.set_order(None);
+        known.versions.set_order(now, None);
     }
     let order = Order {
         service: service.clone(),
@@ -254,7 +258,7 @@
     } else {
         Origin::Started
     };
-    known.versions.set_order(Some(&order));
+    known.versions.set_order(now, Some(&order));
     let window = Window::open(now, &order, 0);
     let group = gateway.overview().group.clone();
     let rollout = Rollout {
@@ -295,7 +299,7 @@
     };
     if rollout.gone_at.is_none() {
         rollout.gone_at = Some(now);
-        known.versions.set_order(None);
+        known.versions.set_order(now, None);
         log_step(gateway, rollout, now, "order deleted", "");
     }
 }
@@ -374,7 +378,7 @@
     if status.target != rollout.order.target || rollout.is_settled {
         return;
     }
-    service.versions.adopt(rollout.order.id, phase, true);
+    service.versions.adopt(now, rollout.order.id, phase, true);
     settle(gateway, rollout, now, phase);
 }
 
@@ -431,7 +435,9 @@
         return;
     };
     let before = service.versions.phase();
-    service.versions.adopt(rollout.order.id, phase, is_written);
+    service
+        .versions
+        .adopt(now, rollout.order.id, phase, is_written);
     let after = service.versions.phase();
     if before != after
         && let Some(after) = after
@@ -465,6 +471,21 @@
     }
 }
 
+/// Returns whether a server gets nothing because of its version.
+pub(super) fn is_barred(gateway: &Gateway, entry: &Entry) -> bool {
+    if !is_active(gateway) {
+        return false;
+    }
+    let services = gateway.rollouts.services.borrow();
+    let Some(service) = services.get(&entry.service) else {
+        return false;
+    };
+    let permission = service
+        .versions
+        .permission(gateway.now(), &version_of(entry));
+    permission == Permission::Barred
+}
+
 /// Records a request or a call with pieces that is sent to a server.
 pub(super) fn record_sent(gateway: &Gateway, entry: &Entry) {
     if !is_active(gateway) {
@@ -490,14 +511,18 @@
 /// Runs the rollouts: observes versions, reports to the decider, and decides at the host that does.
 pub(super) async fn run(gateway: Rc<Gateway>) {
     let mut reported_at = Instant::ZERO;
+    let mut observed_at = Instant::ZERO;
     loop {
         tokio::time::sleep(Duration::from_millis(DECISION_INTERVAL_MS)).await;
         if !is_active(&gateway) {
             continue;
         }
-        observe_versions(&gateway);
-        let names: Vec<Name> = gateway.rollouts.services.borrow().keys().cloned().collect();
         let now = gateway.now();
+        if now.since_ms(observed_at) >= VERSION_INTERVAL_MS {
+            observed_at = now;
+            observe_versions(&gateway);
+        }
+        let names: Vec<Name> = gateway.rollouts.services.borrow().keys().cloned().collect();
         let is_due = now.since_ms(reported_at) >= INTERVAL_MS;
         if is_due {
             reported_at = now;
@@ -579,7 +604,7 @@
         .sum()
 }
 
-/// Returns the constraint on a dispatcher's choice that the order of a service requires.
+/// Returns the number by which a constraint on dispatchers states a version.
 pub(super) fn version_key(version: &str) -> u64 {
     balance::hash(&[version])
 }
@@ -663,25 +688,27 @@
     })
 }
 
-/// Adopts the age of an order that another host has known for longer, because this one started later.
+/// Adopts the age of an order that another host has known for longer: this one started later, or read the
+/// order late.
 fn adopt_age(gateway: &Gateway, rollout: &mut Rollout, now: Instant, age_ms: u64) {
-    let is_older = age_ms > rollout.window.elapsed_ms(now) + AGE_TOLERANCE_MS;
-    if rollout.origin == Origin::Running || !is_older {
+    if age_ms <= rollout.window.elapsed_ms(now) + AGE_TOLERANCE_MS {
         return;
     }
     let Some(bounds) = gateway.options.borrow().features.rollout else {
         return;
     };
     rollout.window = Window::open(now, &rollout.order, age_ms);
-    let group = gateway.overview().group.clone();
-    // A started host has no share of the tolerance, so a new ledger allows no more than the old one.
-    rollout.ledger = Ledger::open(
-        &rollout.order,
-        rollout.window,
-        &bounds,
-        &group,
-        rollout.origin,
-    );
+    if rollout.origin == Origin::Started {
+        let group = gateway.overview().group.clone();
+        // A started host has no share of the tolerance, so a new ledger allows no more than the old one.
+        rollout.ledger = Ledger::open(
+            &rollout.order,
+            rollout.window,
+            &bounds,
+            &group,
+            rollout.origin,
+        );
+    }
     rollout.evidence = Evidence::open(rollout.window);
     rollout.decider = None;
     rollout.pending.clear();
--- a/src/shell/gateway/rollouts/reports.rs
+++ b/src/shell/gateway/rollouts/reports.rs
@@ -57,7 +57,7 @@
     let Some(mut own) = report_of(gateway, service, now) else {
         return;
     };
-    let Some(rollout) = &service.rollout else {
+    let Some(rollout) = &mut service.rollout else {
         return;
     };
     let settled_ms = rollout.settled_at.map(|at| now.since_ms(at));
@@ -67,7 +67,9 @@
     }
     let incarnation = gateway.store.incarnation();
     if is_deciding {
-        if let Some((phase, is_written)) = rollout.announcement {
+        if let Some((phase, is_written)) = rollout.announcement
+            && settled_ms.is_none()
+        {
             (own.phase, own.is_written) = (phase, is_written);
         }
         let report = Report {
--- a/src/shell/gateway/rollouts/selection.rs
+++ b/src/shell/gateway/rollouts/selection.rs
@@ -7,7 +7,6 @@
 
 use super::{
     Permission,
-    Rollout,
     choose_trial,
     is_active,
     version_key,
@@ -16,7 +15,6 @@
 use crate::{
     core::gateway::{
         dispatch::Constraint,
-        rollout::Phase,
         servers::Entry, //
     },
     names::Name,
@@ -94,7 +92,6 @@
         with(Permission::Fallback),
         with(Permission::Trial),
     );
-    let phase = known.versions.phase();
     let mut selections = Vec::new();
     let order = known.rollout.as_mut();
     if let Some(rollout) = order
@@ -108,11 +105,14 @@
             servers: rollout.trial.clone(),
         });
     }
-    let target = known
-        .rollout
-        .as_ref()
-        .map(|it| version_key(&it.order.target));
-    let constraint = constraint(known.rollout.as_ref(), phase);
+    let order = known.rollout.as_ref().filter(|it| it.gone_at.is_none());
+    let target = order.map(|rollout| &rollout.order.target);
+    let key = target.map(|target| version_key(target));
+    let constraint = match (target, key) {
+        (Some(target), Some(key)) if !any.contains(target) => Constraint::Not(key),
+        (Some(_), Some(key)) if any.len() == 1 => Constraint::Only(key),
+        _ => Constraint::Any,
+    };
     selections.push(Selection::Versions {
         versions: any,
         constraint,
@@ -120,26 +120,12 @@
     if !fallback.is_empty() {
         selections.push(Selection::Versions {
             versions: fallback,
-            constraint: target.map_or(Constraint::Any, Constraint::Not),
+            constraint: key.map_or(Constraint::Any, Constraint::Not),
         });
     }
     selections
 }
 
-/// Returns what a dispatcher is told for requests that aren't trials.
-fn constraint(rollout: Option<&Rollout>, phase: Option<Phase>) -> Constraint {
-    let (Some(rollout), Some(phase)) = (rollout, phase) else {
-        return Constraint::Any;
-    };
-    let target = version_key(&rollout.order.target);
-    match phase {
-        Phase::Canary | Phase::Reverted => Constraint::Not(target),
-        Phase::Promoting => Constraint::Only(target),
-        // Versions that are released later may serve beside the target.
-        Phase::Completed => Constraint::Any,
-    }
-}
-
 /// Returns the trial servers for a call with pieces, if one is due.
 pub(in crate::shell::gateway) fn trial_servers(
     gateway: &Gateway,
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -17,7 +17,8 @@
 use crate::shell::gateway::{
     Gateway,
     departures,
-    peers, //
+    peers,
+    rollouts, //
 };
 
 use super::{
@@ -115,6 +116,13 @@
     if gateway.limits.borrow().is_limited(&server) {
         return;
     }
+    // Neither does one of a version that was withdrawn.
+    if entry
+        .as_ref()
+        .is_some_and(|entry| rollouts::is_barred(gateway, entry))
+    {
+        return;
+    }
     let call = gateway.adapter.free_results(results);
     let Some(request) = request(gateway, &server, holder, call) else {
         return;
--- a/tests/core/gateway/dispatch.rs
+++ b/tests/core/gateway/dispatch.rs
@@ -281,3 +281,28 @@
     assert!(granted(reply(1_100, 50)).is_some());
     assert!(granted(reply(1_200, 10)).is_some(), "hosts leave later");
 }
+
+/// Guards against questions that no longer fit a datagram because of the version that they ask for.
+#[test]
+fn ask_constraint_small() {
+    let size = |constraint| {
+        let ask = Ask {
+            constraint,
+            ..ask("a", "b")
+        };
+        let bytes = postcard::to_allocvec(&ask).expect("questions can be encoded");
+        bytes.len()
+    };
+    let plain = size(Constraint::Any);
+    assert!(size(Constraint::Only(u64::MAX)) <= plain + 10);
+    assert!(size(Constraint::Not(u64::MAX)) <= plain + 10);
+}
+
+#[test]
+fn constraint_admits_versions() {
+    assert!(Constraint::Any.admits(1));
+    assert!(Constraint::Only(1).admits(1));
+    assert!(!Constraint::Only(1).admits(2));
+    assert!(!Constraint::Not(1).admits(1));
+    assert!(Constraint::Not(1).admits(2));
+}
