--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -65,11 +65,6 @@
         resume: Option<u64>,
     ) -> Result<Answer, Error> {
         let observation = received.observation.take();
-        let finish = |observation: Option<Observation>, failed: bool| {
-            if let Some(observation) = observation {
-                observation.finish(failed);
-            }
-        };
         let response = &received.response;
         let server = slot.server();
         let names = self.gateway.adapter.headers();
@@ -85,7 +80,7 @@
         // request, so its connection isn't used again.
         let is_named = !echo.is_empty();
         if !echo.is_empty() && echo != &*self.id {
-            finish(observation, true);
+            Observation::finish(observation, true);
             slot.release(true);
             return Err(failure(
                 Outcome::Lost,
@@ -100,7 +95,7 @@
         }
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
             self.may_have_run.set(may_have_run_before);
-            observation.map(Observation::discard);
+            Observation::discard(observation);
             let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
             if body.collect().await.is_ok() && is_named {
                 received.lease.finish();
@@ -114,7 +109,7 @@
         let is_signed = response.headers().contains_key(&names.signature);
         let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
         if status.is_success() && (!is_signed || is_encoded || echo.is_empty()) {
-            finish(observation, true);
+            Observation::finish(observation, true);
             slot.release(true);
             return Err(failure(
                 Outcome::Lost,
@@ -137,7 +132,7 @@
                 if is_named {
                     lease.finish();
                 }
-                finish(observation, status.is_server_error());
+                Observation::finish(observation, status.is_server_error());
                 slot.release(status.is_server_error());
                 if status.is_success() {
                     quarantines::observe_answer(&self.gateway, sent_unix_ms, &self.content);
@@ -145,7 +140,7 @@
                 Ok(Answer::Whole(Response::from_parts(head, body.to_bytes())))
             }
             Err(error) => {
-                finish(observation, true);
+                Observation::finish(observation, true);
                 slot.release(true);
                 Err(failure(Outcome::Lost, format!("answer broke off: {error}")))
             }
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -164,12 +164,12 @@
             Ok(sent) => sent,
             Err(upstream::Error::NotSent(reason)) => {
                 self.may_have_run.set(may_have_run_before);
-                observation.map(Observation::discard);
+                Observation::discard(observation);
                 slot.release(true);
                 return Err(failure(Outcome::NotSent, reason));
             }
             Err(upstream::Error::Lost(reason)) => {
-                observation.map(|it| it.finish(true));
+                Observation::finish(observation, true);
                 slot.release(true);
                 return Err(failure(Outcome::Lost, reason));
             }
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -76,9 +76,7 @@
 impl Source {
     /// Records the end of the answer, or its failure, as evidence on the server's version.
     pub(super) fn finish_observation(&mut self, failed: bool) {
-        if let Some(observation) = self.observation.take() {
-            observation.finish(failed);
-        }
+        Observation::finish(self.observation.take(), failed);
     }
 
     pub(super) async fn next(&mut self) -> Chunk {
--- a/src/shell/gateway/rollouts/observation.rs
+++ b/src/shell/gateway/rollouts/observation.rs
@@ -99,13 +99,17 @@
     }
 
     /// Records the end of a complete answer, or its failure.
-    pub(in crate::shell::gateway) fn finish(mut self, failed: bool) {
-        self.record(failed);
+    pub(in crate::shell::gateway) fn finish(observation: Option<Self>, failed: bool) {
+        if let Some(mut observation) = observation {
+            observation.record(failed);
+        }
     }
 
-    /// Drops the observation: the server refused the request, or nothing reached it.
-    pub(in crate::shell::gateway) fn discard(mut self) {
-        self.is_done = true;
+    /// Drops an observation: the server refused the request, or nothing reached it.
+    pub(in crate::shell::gateway) fn discard(observation: Option<Self>) {
+        if let Some(mut observation) = observation {
+            observation.is_done = true;
+        }
     }
 
     fn record(&mut self, failed: bool) {
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -458,14 +458,12 @@
         upstream::UNLIMITED, //
     );
     let completion = exchange(gateway, batcher, call, &entry, sent_unix_ms, sent).await;
-    if let Some(observation) = observation {
-        match &completion {
-            Completion::Results(results) => {
-                observation.finish(results.contains(&Err(Failure::Failed)));
-            }
-            Completion::Failed(_) => observation.finish(true),
-            Completion::Withheld | Completion::NotRun(_) => observation.discard(),
+    match &completion {
+        Completion::Results(results) => {
+            Observation::finish(observation, results.contains(&Err(Failure::Failed)));
         }
+        Completion::Failed(_) => Observation::finish(observation, true),
+        Completion::Withheld | Completion::NotRun(_) => Observation::discard(observation),
     }
     completion
 }
