--- a/src/core/gateway/rollout/evidence.rs
+++ b/src/core/gateway/rollout/evidence.rs
@@ -21,7 +21,7 @@
 
 /// An answer of a server.
 ///
-/// Refusals (`Not-Executed`) and failures of a server's start are no answers.
+/// Refusals of requests that were not run and failures of a server's start are no answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answer {
     /// Whether it is a failure.
