--- a/src/shell/gateway/rollouts/deciding.rs
+++ b/src/shell/gateway/rollouts/deciding.rs
@@ -96,6 +96,9 @@
         incarnation,
         in_flight_old,
     }));
+    if phase == Some(Phase::Reverted) {
+        events.push(Event::HostReverted);
+    }
     if rollout.gone_at.is_some() {
         events.push(Event::OrderGone);
     }
--- a/src/shell/gateway/rollouts/reports.rs
+++ b/src/shell/gateway/rollouts/reports.rs
@@ -24,6 +24,7 @@
     core::gateway::{
         hosts,
         rollout::{
+            Phase,
             decider::Event,
             evidence::Digest, //
         },
@@ -145,9 +146,12 @@
         return;
     }
     adopt_age(gateway, rollout, now, stated.age_ms);
-    // A host that decides takes final phases from the store only.
+    // A host that decides takes final phases from the store only, except that an announced reversal is never
+    // taken back.
     if rollout.decider.is_none() {
         adopt_phase(gateway, service, now, stated.phase, stated.is_written);
+    } else if stated.phase == Phase::Reverted {
+        deciding::feed(gateway, rollout, now, Event::HostReverted);
     }
 }
 
