--- a/src/core/gateway/rollout/ledger.rs
+++ b/src/core/gateway/rollout/ledger.rs
@@ -99,6 +99,15 @@
         self.sent_to_target += u64::from(is_target);
     }
 
+    /// Takes back the record of a request that was not sent after all. `sent_at` is the time of the record.
+    pub fn undo_sent(&mut self, sent_at: Instant, is_target: bool) {
+        if is_target || sent_at < self.deadline {
+            self.sent = self.sent.saturating_sub(1);
+        }
+        let undone = u64::from(is_target);
+        self.sent_to_target = self.sent_to_target.saturating_sub(undone);
+    }
+
     /// Returns whether one more request to the target stays within the bound.
     pub fn may_send(&self, now: Instant) -> bool {
         let next = self.sent_to_target + 1;
--- a/src/shell/gateway/datagrams/assignments.rs
+++ b/src/shell/gateway/datagrams/assignments.rs
@@ -31,7 +31,8 @@
     shell::gateway::{
         Gateway,
         limits,
-        pauses, //
+        pauses,
+        rollouts, //
     },
     time::Instant,
 };
@@ -232,7 +233,9 @@
         service.cold_requests_per_s * factor,
         &|server| limits::dispatcher_share(gateway, server),
         &|server| {
-            if gateway.region_of(&server.entry.data_centre) != gateway.identity.region {
+            if gateway.region_of(&server.entry.data_centre) != gateway.identity.region
+                || !rollouts::may_grant(gateway, &server.entry, question.constraint)
+            {
                 return false;
             }
             // A server that is overloaded by the requests of this host has no room for those of others.
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -38,6 +38,7 @@
         log::Progress,
         pauses,
         quarantines,
+        rollouts::Observation,
         upstream::Lease, //
     },
     time::Instant,
@@ -52,6 +53,7 @@
     pub(super) lease: Lease,
     pub(super) sent_unix_ms: u64,
     pub(super) sent_at: Instant,
+    pub(super) observation: Option<Observation>,
 }
 
 impl Exchange {
@@ -62,10 +64,11 @@
         &self,
         slot: Slot,
         entry: &Entry,
-        received: Received,
+        mut received: Received,
         may_have_run_before: bool,
         resume: Option<u64>,
     ) -> Result<Answer, Error> {
+        let observation = received.observation.take();
         let response = &received.response;
         let server = slot.server();
         let names = self.gateway.adapter.headers();
@@ -81,6 +84,7 @@
         // request, so its connection isn't used again.
         let is_named = !echo.is_empty();
         if !echo.is_empty() && echo != &*self.id {
+            Observation::finish(observation, true);
             slot.release(true);
             return Err(failure(
                 Outcome::Lost,
@@ -97,6 +101,7 @@
         }
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
             self.may_have_run.set(may_have_run_before);
+            Observation::discard(observation);
             let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
             if body.collect().await.is_ok() && is_named {
                 received.lease.finish();
@@ -110,6 +115,7 @@
         let is_signed = response.headers().contains_key(&names.signature);
         let is_encoded = response.headers().contains_key(header::CONTENT_ENCODING);
         if status.is_success() && (!is_signed || is_encoded || echo.is_empty()) {
+            Observation::finish(observation, true);
             slot.release(true);
             return Err(failure(
                 Outcome::Lost,
@@ -117,13 +123,14 @@
             ));
         }
         if self.route.kind.is_stream() && status.is_success() {
+            received.observation = observation;
             return self.receive_stream(slot, received, resume).await;
         }
         let Received {
             response,
             lease,
             sent_unix_ms,
-            sent_at: _,
+            ..
         } = received;
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
@@ -131,6 +138,7 @@
                 if is_named {
                     lease.finish();
                 }
+                Observation::finish(observation, status.is_server_error());
                 slot.release(status.is_server_error());
                 if status.is_success() {
                     quarantines::observe_answer(&self.gateway, sent_unix_ms, &self.content);
@@ -138,6 +146,7 @@
                 Ok(Answer::Whole(Response::from_parts(head, body.to_bytes())))
             }
             Err(error) => {
+                Observation::finish(observation, true);
                 slot.release(true);
                 Err(failure(Outcome::Lost, format!("answer broke off: {error}")))
             }
@@ -160,6 +169,7 @@
             slot,
             sent_unix_ms: received.sent_unix_ms,
             begun_at: self.gateway.now(),
+            observation: received.observation,
             framer: Framer::resume_after(resume),
         };
         match source.next().await {
@@ -184,6 +194,7 @@
             }
             // A server that crashes may end its connection like one that has sent all.
             Chunk::End if is_unframed && resume.is_none() => {
+                source.finish_observation(true);
                 source.slot.release(true);
                 Err(Error {
                     outcome: Outcome::Lost,
@@ -192,8 +203,12 @@
                     progress: Progress::Head,
                 })
             }
-            Chunk::End => Ok(Answer::Whole(Response::from_parts(head, Bytes::new()))),
+            Chunk::End => {
+                source.finish_observation(false);
+                Ok(Answer::Whole(Response::from_parts(head, Bytes::new())))
+            }
             Chunk::Lost(reason) => {
+                source.finish_observation(true);
                 source.slot.release(true);
                 Err(Error {
                     outcome: Outcome::Lost,
