--- a/benches/balance.rs
+++ b/benches/balance.rs
@@ -94,6 +94,7 @@
             service: "llm".into(),
             address: ([127, 0, 0, 1], 1).into(),
             data_centre: "a".into(),
+            version: None,
             slots: 24,
             leaving: false,
             cold_ms: 0,
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -50,6 +50,11 @@
         },
         pauses,
         quarantines,
+        rollouts::{
+            self,
+            Hold,
+            Selection, //
+        },
         upstream, //
     },
     time::Instant,
@@ -72,6 +77,9 @@
     lease: Option<Lease>,
     // When the request was handed to a connection.
     sent_at: Option<Instant>,
+    // Hold the server, and the one from whose cache it fetches.
+    _hold: Option<Hold>,
+    source_hold: Option<Hold>,
 }
 
 impl Slot {
@@ -91,6 +99,7 @@
 
     /// Records the first event, with the load that the server stated in its answer.
     pub(super) fn finish_prefill(&mut self, load: Option<Load>) {
+        self.source_hold = None;
         let now = self.gateway.now();
         let sent_at = self.sent_at;
         let sample = sent_at.map(|sent_at| Sample::new(now.since_ms(sent_at), load));
@@ -171,12 +180,7 @@
             if quarantines::find(&self.gateway, &self.content).is_some() {
                 return Err(self.quarantined());
             }
-            let assigned = if self.uses_dispatchers() {
-                self.ask_dispatchers().await
-            } else {
-                self.place()
-            };
-            match assigned {
+            match self.assign_once().await {
                 Ok(slot) => return Ok(slot),
                 Err(balance::Error::Full)
                     if self.gateway.now().after_ms(EXPECTED_RUN_MS) < self.deadline =>
@@ -245,13 +249,15 @@
         }
     }
 
-    /// Fails if all servers that may get the request asked for a pause, so that no dispatcher is asked.
-    fn check_paused(&self) -> Result<(), balance::Error> {
+    /// Fails if all servers of a selection that may get the request asked for a pause, so that no dispatcher is asked.
+    fn check_paused(&self, selection: &Selection) -> Result<(), balance::Error> {
         let tried = self.tried.borrow();
         let servers = self.gateway.servers.borrow();
         let usable = servers.usable(&self.service);
         let untried = usable.filter(|server| {
-            self.is_allowed(&server.entry.data_centre) && !tried.contains(&server.entry.id)
+            self.is_allowed(&server.entry.data_centre)
+                && selection.admits(&server.entry)
+                && !tried.contains(&server.entry.id)
         });
         match pauses::wait_of_all(&self.gateway, untried) {
             None => Ok(()),
@@ -260,6 +266,28 @@
         }
     }
 
+    /// Takes a slot at a server of the first versions that have one. The reason of those that are used by
+    /// most requests is returned if none has.
+    async fn assign_once(&self) -> Result<Slot, balance::Error> {
+        let is_repeated = !self.tried.borrow().is_empty();
+        let mut result = Err(balance::Error::NoServer);
+        for selection in rollouts::selections(&self.gateway, &self.service, is_repeated) {
+            let assigned = if self.uses_dispatchers() {
+                self.ask_dispatchers(&selection).await
+            } else {
+                self.place(&selection)
+            };
+            match (assigned, &result) {
+                (Ok(slot), _) => return Ok(slot),
+                // Full servers are worth a wait, whatever the others are.
+                (Err(_), Err(balance::Error::Full)) => {}
+                (Err(balance::Error::NoServer), Err(_)) => {}
+                (Err(error), _) => result = Err(error),
+            }
+        }
+        result
+    }
+
     /// Returns the failure of an attempt at a request that was quarantined while it waited for a server.
     pub(super) fn quarantined(&self) -> Error {
         self.is_exhausted.set(true);
@@ -285,34 +313,36 @@
     }
 
     /// Returns whether any server may get the request that hasn't failed it.
-    fn has_untried_server(&self) -> bool {
+    fn has_untried_server(&self, selection: &Selection) -> bool {
         let tried = self.tried.borrow();
         let servers = self.gateway.servers.borrow();
         let mut usable = servers.usable(&self.service);
         usable.any(|server| {
-            self.is_allowed(&server.entry.data_centre) && !tried.contains(&server.entry.id)
+            self.is_allowed(&server.entry.data_centre)
+                && selection.admits(&server.entry)
+                && !tried.contains(&server.entry.id)
         })
     }
 
     /// Has a dispatcher assign a server, that of the preferred region first. This host assigns one
     /// from its own share if no dispatcher of that region answers.
-    async fn ask_dispatchers(&self) -> Result<Slot, balance::Error> {
+    async fn ask_dispatchers(&self, selection: &Selection) -> Result<Slot, balance::Error> {
         let gateway = &self.gateway;
-        if !self.has_untried_server() {
+        if !self.has_untried_server(selection) {
             return Err(balance::Error::NoServer);
         }
-        self.check_paused()?;
+        self.check_paused(selection)?;
         let preferred = self.region.borrow().clone();
         let mut regions: Vec<Name> = gateway.overview().dispatchers.keys().cloned().collect();
         regions.sort_by_key(|region| *region != preferred);
         let mut has_server = false;
         let mut limited = None;
         for region in regions.iter().filter(|region| self.allows_region(region)) {
-            match self.ask_region(region).await {
+            match self.ask_region(region, selection).await {
                 Answer::Granted(grant, lease) => return Ok(self.accept(grant, lease)),
                 Answer::Full => has_server = true,
                 Answer::Limited(wait_ms) => limited = Some(wait_ms),
-                Answer::Silent if *region == preferred => match self.place() {
+                Answer::Silent if *region == preferred => match self.place(selection) {
                     Ok(slot) => return Ok(slot),
                     Err(balance::Error::Limited(wait_ms)) => limited = Some(wait_ms),
                     Err(error) => has_server |= error == balance::Error::Full,
@@ -330,7 +360,7 @@
     /// Asks the dispatchers of a region until one grants a server to which the request may be sent. They
     /// count as silent if they only grant servers that this host knows to be leaving, gone or paused: the store may
     /// not answer them, and pauses are known to this host alone.
-    async fn ask_region(&self, region: &Name) -> Answer {
+    async fn ask_region(&self, region: &Name, selection: &Selection) -> Answer {
         let gateway = &self.gateway;
         let mut declined = Vec::new();
         while declined.len() < MAX_DECLINED {
@@ -339,6 +369,7 @@
                 prompt: self.prompt.clone(),
                 excluded: self.excluded(&declined),
                 remaining_ms: self.deadline.since_ms(gateway.now()),
+                constraint: selection.constraint(),
             };
             let (grant, lease) = match datagrams::ask(gateway, region, &ask).await {
                 Answer::Granted(grant, lease) => (grant, lease),
@@ -393,16 +424,11 @@
         let dispatcher = Some(&lease.dispatcher);
         self.log_placed(&assignment, dispatcher, grant.estimate.as_ref());
         datagrams::record_placement(gateway, &assignment.server, &self.prompt);
-        Slot {
-            gateway: gateway.clone(),
-            assignment: Some(assignment),
-            lease: Some(lease),
-            sent_at: None,
-        }
+        self.slot(assignment, Some(lease))
     }
 
     /// Assigns a server from this host's own share of the limits.
-    fn place(&self) -> Result<Slot, balance::Error> {
+    fn place(&self, selection: &Selection) -> Result<Slot, balance::Error> {
         let gateway = &self.gateway;
         let now = gateway.now();
         let overview = gateway.overview();
@@ -435,17 +461,25 @@
             now,
             &gateway.servers.borrow(),
             &request,
-            &|server| self.is_allowed(&server.entry.data_centre),
+            &|server| self.is_allowed(&server.entry.data_centre) && selection.admits(&server.entry),
             &|server| gateway.region_of(&server.entry.data_centre) == *self.region.borrow(),
         )?;
         self.log_placed(&assignment, None, assignment.estimate());
         datagrams::record_placement(gateway, &assignment.server, &self.prompt);
-        Ok(Slot {
+        Ok(self.slot(assignment, None))
+    }
+
+    fn slot(&self, assignment: Assignment, lease: Option<Lease>) -> Slot {
+        let gateway = &self.gateway;
+        let source = assignment.source.as_ref();
+        Slot {
+            _hold: Hold::new(gateway, &assignment.server),
+            source_hold: source.and_then(|source| Hold::new(gateway, source)),
             gateway: gateway.clone(),
             assignment: Some(assignment),
-            lease: None,
+            lease,
             sent_at: None,
-        })
+        }
     }
 
     fn log_placed(
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -35,6 +35,10 @@
             Progress, //
         },
         pauses, quarantines,
+        rollouts::{
+            self,
+            Observation, //
+        },
         upstream::{
             self,
             Reuse, //
@@ -165,6 +169,14 @@
         // The request may run from here on, unless the response says otherwise. The flag has to be
         // set before the wait, which a deadline can cancel.
         let sent_unix_ms = clock::unix_ms();
+        let counted = rollouts::record_sent(&self.gateway, entry);
+        let observation = Observation::begin(
+            &self.gateway,
+            entry,
+            &self.route.name,
+            self.deadline,
+            resume.is_some(),
+        );
         let may_have_run_before = self.may_have_run.replace(true);
         slot.mark_sent();
         let sent = self
@@ -183,15 +195,19 @@
             Ok(sent) => sent,
             Err(upstream::Error::NotSent(reason)) => {
                 self.may_have_run.set(may_have_run_before);
+                Observation::discard(observation);
                 slot.release(true);
                 return Err(failure(Outcome::NotSent, reason));
             }
             Err(upstream::Error::HeldBack) => {
+                rollouts::record_held_back(&self.gateway, entry, counted);
+                Observation::discard(observation);
                 self.may_have_run.set(may_have_run_before);
                 self.attempts.set(self.attempts.get().saturating_sub(1));
                 return Ok(None);
             }
             Err(upstream::Error::Lost(reason)) => {
+                Observation::finish(observation, true);
                 slot.release(true);
                 return Err(failure(Outcome::Lost, reason));
             }
@@ -201,6 +217,7 @@
             lease,
             sent_unix_ms,
             sent_at,
+            observation,
         };
         self.receive(slot, entry, reply, may_have_run_before, resume)
             .await
--- a/src/shell/gateway/stages/free.rs
+++ b/src/shell/gateway/stages/free.rs
@@ -18,7 +18,8 @@
     Gateway,
     departures,
     pauses,
-    peers, //
+    peers,
+    rollouts, //
 };
 
 use super::{
@@ -116,6 +117,13 @@
     if gateway.limits.borrow().is_limited(&server) {
         return;
     }
+    // Neither does one of a version that was withdrawn.
+    if entry
+        .as_ref()
+        .is_some_and(|entry| rollouts::is_barred(gateway, entry))
+    {
+        return;
+    }
     // It drops them if it asked for a pause, too.
     let sent_at = match &entry {
         Some(entry) => match pauses::claim(gateway, entry) {
--- a/tests/core/gateway/placement/model.rs
+++ b/tests/core/gateway/placement/model.rs
@@ -15,6 +15,7 @@
         },
         dispatch::{
             Ask,
+            Constraint,
             Dispatcher,
             Grant,
             Reply,
@@ -341,6 +342,7 @@
             prompt: prompt("subject", &format!("own-{ms}")),
             excluded: Vec::new(),
             remaining_ms: 6_000,
+            constraint: Constraint::Any,
         };
         match dispatcher.ask(at(ms), &table, &ask, 0.0, &|_| None, &|_| true) {
             Reply::Granted(grant) => grant,
