--- a/src/options/gateway.rs
+++ b/src/options/gateway.rs
@@ -43,9 +43,6 @@
     /// Gradual moves of a service's traffic to another version of its servers: see
     /// `docs/design/rollout.md`. `None` if versions aren't told apart.
     pub rollout: Option<Rollout>,
-    /// Whether requests are admitted by an estimate of their whole chain of stages: see
-    /// `docs/design/admission.md`.
-    pub admission: bool,
     /// How servers are compared for a request.
     pub placement: Placement,
 }
