--- a/src/core/gateway/rollout/versions.rs
+++ b/src/core/gateway/rollout/versions.rs
@@ -74,10 +74,16 @@
     pub fn see(&mut self, now: Instant, version: &Name, age_ms: u64) {
         let seen_at = now.before_ms(age_ms);
         self.known.retain(|_, version| !version.is_over(now));
+        // A host that starts may read that an order was completed before it reads the servers.
+        let is_replaced = age_ms > 0
+            && self.order.as_ref().is_some_and(|current| {
+                (current.phase, current.is_written) == (Phase::Completed, true)
+                    && *version != current.target
+            });
         let known = self.known.entry(version.clone()).or_insert(Version {
             first_seen_at: seen_at,
             left_at: None,
-            is_barred: false,
+            is_barred: is_replaced,
         });
         known.first_seen_at = known.first_seen_at.min(seen_at);
         known.left_at = None;
--- a/tests/core/gateway/rollout/versions.rs
+++ b/tests/core/gateway/rollout/versions.rs
@@ -191,3 +191,19 @@
     versions.adopt(after(300), 1, Phase::Reverted, false);
     assert_eq!(permissions(&versions, 300), (Any, Barred));
 }
+
+// Guards against requests to a replaced version from a host that starts and reads the state of the order before
+// the servers.
+#[test]
+fn see_after_completion() {
+    let mut versions = Versions::default();
+    versions.set_order(after(0), Some(&order("v2", 12_000, 1)));
+    versions.adopt(after(100), 1, Phase::Completed, true);
+    versions.see(after(200), &"v1".into(), 60_000);
+    versions.see(after(200), &"v2".into(), 30_000);
+    assert_eq!(permissions(&versions, 200), (Barred, Any));
+    // A version whose servers start later is an ordinary release.
+    versions.see(after(300), &"v3".into(), 0);
+    let permission = versions.permission(after(300 + RELEASE_MS), &"v3".into());
+    assert_eq!(permission, Any);
+}
