--- a/src/core/gateway/balance.rs
+++ b/src/core/gateway/balance.rs
@@ -498,7 +498,9 @@
         self.finish_prefill(assignment);
         let placed = assignment.placed.as_mut()?;
         let model = self.models.get_mut(&placed.service)?;
-        model.observe(now, &assignment.server, placed, sample)
+        let belief = model.observe(now, &assignment.server, placed, sample);
+        // What is believed of caches matters only where it decided.
+        belief.filter(|_| assignment.is_by_latency)
     }
 
     /// Records the end of the prefill, which is when the first event arrives.
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -92,10 +92,12 @@
         self.tried.borrow_mut().push(server.clone());
         let sent_unix_ms = clock::unix_ms();
         let sent = self.send(slot, entry.as_ref(), sent_at, resume).await;
-        if let (Ok(None), Some(entry)) = (&sent, &entry) {
+        let is_paused = |entry: &Entry| pauses::is_paused(&self.gateway, entry);
+        if let (Ok(None), Some(entry)) = (&sent, &entry)
+            && is_paused(entry)
+        {
             pauses::count(&self.gateway, &entry.service, "held_back");
         }
-        let is_paused = |entry: &Entry| pauses::is_paused(&self.gateway, entry);
         let is_not_run = match &sent {
             Ok(answer) => answer.is_none(),
             Err(failure) => failure.outcome == Outcome::NotRun,
@@ -188,7 +190,10 @@
                 request,
                 reuse,
                 self.max_connections(hosts),
-                &|| pauses::is_paused(&self.gateway, entry),
+                &|| {
+                    pauses::is_paused(&self.gateway, entry)
+                        || rollouts::is_barred(&self.gateway, entry)
+                },
             )
             .await;
         let (response, lease) = match sent {
--- a/src/shell/gateway/rollouts/deciding.rs
+++ b/src/shell/gateway/rollouts/deciding.rs
@@ -44,8 +44,21 @@
     deciders.first().map(|&heartbeat| heartbeat.clone())
 }
 
+/// Returns whether no order of a service is open. Records of orders may stay for days after their end, and
+/// what the decider needs grows with hosts and servers.
+fn is_settled(gateway: &Gateway, name: &Name) -> bool {
+    let services = gateway.rollouts.services.borrow();
+    let rollout = services
+        .get(name)
+        .and_then(|service| service.rollout.as_ref());
+    rollout.is_none_or(|rollout| rollout.is_settled)
+}
+
 /// Runs the periodic work of the decider, if this host decides on the order of a service.
 pub(super) fn step(gateway: &Rc<Gateway>, name: &Name) {
+    if is_settled(gateway, name) {
+        return;
+    }
     let is_decider =
         decider(gateway, name).is_some_and(|decider| decider.host == gateway.identity.host);
     let now = gateway.now();
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -483,7 +483,8 @@
     let counted = rollouts::record_sent(gateway, &entry);
     // Calls with pieces of all routes share the service's name as their route.
     let observation = Observation::begin(gateway, &entry, &batcher.service, deadline, false);
-    let is_held_back = || pauses::is_paused(gateway, &entry);
+    let is_held_back =
+        || pauses::is_paused(gateway, &entry) || rollouts::is_barred(gateway, &entry);
     let sent = gateway.pool.send(
         &call.server,
         address,
