--- a/src/core/gateway/hosts.rs
+++ b/src/core/gateway/hosts.rs
@@ -172,7 +172,7 @@
     /// Records that the store answers again after an outage.
     ///
     /// A read that fails once delays heartbeats by less than their interval, which the timeout covers. If it
-    /// made all hosts young again, a host that reads badly would take dead ones for live.
+    /// reset the ages of all hosts, a host whose reads fail now and then would count dead hosts as live.
     pub fn store_recovered(&mut self, now: Instant) {
         let since = self.outage_since.take();
         if since.is_some_and(|since| now.since_ms(since) >= HEARTBEAT_INTERVAL_MS) {
--- a/src/shell/gateway/rollouts/deciding.rs
+++ b/src/shell/gateway/rollouts/deciding.rs
@@ -73,9 +73,9 @@
     let Some(rollout) = &mut service.rollout else {
         return;
     };
-    if !is_decider || rollout.is_settled {
+    if !is_decider {
         // Its state isn't stored, so a host that decides again later begins anew.
-        if !is_decider && rollout.decider.take().is_some() {
+        if rollout.decider.take().is_some() {
             rollout.announcement = None;
             log_step(gateway, rollout, now, "another host decides", "");
         }
--- a/src/shell/gateway/rollouts/mod.rs
+++ b/src/shell/gateway/rollouts/mod.rs
@@ -520,7 +520,8 @@
     })
 }
 
-/// Takes a request out of the ledger, since it was held back for a pause of its server and nothing was sent.
+/// Takes a request out of the ledger, since it was held back just before the send: its server asked for a
+/// pause, or its version is barred now.
 pub(super) fn record_held_back(gateway: &Gateway, entry: &Entry, counted: Option<Counted>) {
     let Some(counted) = counted else {
         return;
