review: case 7, an error that names no request is passed on as an answer

Callers see: an order that the server ran and answered 200 gets a 500 with the text of another order. Cause as far as known: the Attempt-Id is compared only where there is one. The cases after it move up by one number.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -694,6 +694,7 @@
     let record = Record::open(record);
     let is_broken = match case.as_str() {
         "copied-refusal" => copied_refusal(&record),
+        "second-answer" => second_answer(&record),
         "spoiled-event" => spoiled_event(&record),
         "stop-while-waiting" => stop_while_waiting(&record),
         "slow-reader" => slow_reader(&record),
@@ -870,7 +871,116 @@
     is_broken
 }
 
-/// Case 7: a server spoils one event of a stream that may be resumed, and it arrives together with a sound one.
+/// Case 7: a server answers an order and then, late, answers it once more with an error that doesn't name the order.
+/// The error arrives where the answer to the next order on the connection is expected.
+fn second_answer(record: &Record) -> bool {
+    const ORDERS: u64 = 240;
+    /// The faulty server's orders that get a second answer.
+    const ANSWERED_TWICE: [u64; 2] = [30, 60];
+    /// Time that an order takes, in milliseconds.
+    const WORK_MS: u64 = 10;
+    let ledger: Shared = Arc::default();
+    let store = Store::spawn();
+    configure(
+        &store,
+        r#"{"name":"r-order","host":"pule25.example","path-prefix":"/bobo563/lo7/","route-type":"unsafe","timeout-ms":1000,
+"target-latency-ms":400,"priority":2,"service":"wuno96b","max-attempts":1,"phases":[],"public":false,
+"session-affinity":false,"stream-resume":false,"allowed-regions":[]}"#,
+        r#"{"name":"wuno96b","health-path":"/healthz","max-connections":49,"protocol":"h1","tls-enabled":false,
+"warmup-s":0.0,"warmup-per-s":0.0}"#,
+    );
+    let server = |id: &'static str| {
+        let (ledger, record) = (ledger.clone(), record.clone());
+        // Second answers that are sent where the next answer on their connection is expected.
+        let pending: Mutex<HashMap<u64, String>> = Mutex::default();
+        Server::spawn(id, move |request, link, connection| {
+            let order = request.id().to_string();
+            let late = pending.lock().unwrap().remove(&connection);
+            let is_noted = late.is_some();
+            if let Some(first) = late {
+                record.line(format!(
+                    "server {id}, connection {connection}: late second answer to order {first}, 500 without an Attempt-Id"
+                ));
+                let body = format!("{{\"error\":\"order {first}: stock of bozi300 can't be read\"}}");
+                if !link.write(&answer(500, &[("Content-Type", "application/json")], body.as_bytes())) {
+                    return false;
+                }
+            }
+            let mut state = ledger.lock().unwrap();
+            state.runs.entry(order.clone()).or_default().push(id.to_string());
+            let count = state.answers.entry(id.to_string()).or_default();
+            *count += 1;
+            let count = *count;
+            // The server with most orders is the faulty one: one of two.
+            let is_faulty = *state.faulty.get_or_insert(id.to_string()) == id;
+            let doubles = is_faulty && has_trouble() && ANSWERED_TWICE.contains(&count);
+            state.spoiled += u64::from(doubles);
+            drop(state);
+            pause(WORK_MS);
+            let body = format!("{{\"order\":\"{order}\"}}");
+            let headers = [("Attempt-Id", order.as_str()), ("Server-Signature", SIGNATURE)];
+            if doubles || is_noted {
+                record.line(format!("server {id}, connection {connection}: order {order} has run, 200 {body}"));
+            }
+            if doubles {
+                pending.lock().unwrap().insert(connection, order.clone());
+            }
+            link.write(&answer(200, &headers, body.as_bytes()))
+        })
+    };
+    let servers = [server("i-7f3a91c2"), server("i-02d9e6b4")];
+    register(&store, "wuno96b", 6, &servers);
+    let host = Host::spawn(&store, record);
+    let Some(mut caller) = Caller::connect(host.callers) else {
+        host.give_up("the host doesn't accept callers");
+    };
+    let window = Instant::now();
+    let mut orders = Vec::new();
+    for _ in 0..ORDERS {
+        let order = request("POST", "/bobo563/lo7/2f", 2_000, &[]);
+        let id = order.headers[0].1.clone();
+        let sent_at = Instant::now();
+        let is_sent = caller.send(&order);
+        let answer = if is_sent { caller.receive(sent_at) } else { Answer::default() };
+        if answer.status != 200 {
+            let body = String::from_utf8_lossy(&answer.body).to_string();
+            record.line(format!("caller: order {id} answered {}: {body}", answer.text()));
+        }
+        orders.push((id, answer));
+    }
+    let window_s = window.elapsed().as_secs_f64();
+    pause(300);
+    host.end();
+    let state = ledger.lock().unwrap();
+    let answers = state.faulty.as_ref().and_then(|id| state.answers.get(id)).copied().unwrap_or(0);
+    record.line(format!(
+        "{} of {answers} answers of the faulty server were followed by a second one, within {window_s:.1} s",
+        state.spoiled
+    ));
+    let mut is_broken = false;
+    let mut not_served = 0;
+    for (id, answer) in &orders {
+        let body = String::from_utf8_lossy(&answer.body).to_string();
+        let foreign = orders.iter().find(|(other, _)| other != id && body.contains(other.as_str()));
+        if let Some((other, _)) = foreign {
+            is_broken = true;
+            record.verdict(&format!(
+                "MIXED broken: order {id}, which the server ran and answered 200, got {} that belongs to order {other}: {body}",
+                answer.status
+            ));
+        }
+        not_served += u64::from(answer.status != 200);
+    }
+    record.verdict(&format!("{} orders, {not_served} without 200", orders.len()));
+    let is_allowed = state.spoiled as f64 <= 0.03 * answers as f64 && window_s < 5.0;
+    if has_trouble() && (state.spoiled == 0 || !is_allowed) {
+        eprintln!("no answer was doubled, or more than the pages allow");
+        exit(2);
+    }
+    is_broken
+}
+
+/// Case 8: a server spoils one event of a stream that may be resumed, and it arrives together with a sound one.
 fn spoiled_event(record: &Record) -> bool {
     /// Streams, of which the faulty server spoils one.
     const STREAMS: usize = 160;
@@ -1000,7 +1110,7 @@
     is_broken
 }
 
-/// Case 8: a host is stopped while requests wait in it for a place at a server.
+/// Case 9: a host is stopped while requests wait in it for a place at a server.
 fn stop_while_waiting(record: &Record) -> bool {
     /// Places of the servers at this host, by `max-connections`.
     const PLACES: usize = 16;
@@ -1112,7 +1222,7 @@
     is_broken
 }
 
-/// Case 9: a host is stopped while callers read their streams slowly.
+/// Case 10: a host is stopped while callers read their streams slowly.
 fn slow_reader(record: &Record) -> bool {
     const CALLERS: usize = 6;
     /// Events of a stream, and bytes of each.
