review: case 6 shows TWICE

Callers see: an order that is placed once is placed at two servers and answered 200. With max-attempts 4 the host sends the order on where with 3 it answered 503; the cause is the same. Command: review/6/run.sh.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -744,7 +744,7 @@
     configure(
         &store,
         r#"{"name":"r-order","host":"pule25.example","path-prefix":"/bobo563/lo7/","route-type":"unsafe","timeout-ms":2000,
-"target-latency-ms":800,"priority":2,"service":"wuno96b","max-attempts":3,"phases":[],"public":false,
+"target-latency-ms":800,"priority":2,"service":"wuno96b","max-attempts":4,"phases":[],"public":false,
 "session-affinity":false,"stream-resume":false,"allowed-regions":[]}"#,
         r#"{"name":"wuno96b","health-path":"/healthz","max-connections":49,"protocol":"h1","tls-enabled":false,
 "warmup-s":0.0,"warmup-per-s":0.0}"#,
