--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -504,10 +504,8 @@
         false
     }
 
-    fn end(mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
+    fn end(self) {
+        drop(self);
     }
 
     fn give_up(self, reason: &str) -> ! {
@@ -517,6 +515,14 @@
     }
 }
 
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
 // ---------------------------------------------------------------- callers
 
 #[derive(Debug, Default)]
@@ -691,9 +697,6 @@
         eprintln!("stand-ins CASE RECORD");
         exit(2)
     };
-    // A thread that panics means that the case couldn't run.
-    let report = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| report(info)));
     let record = Record::open(record);
     let is_broken = match case.as_str() {
         "copied-refusal" => copied_refusal(&record),
