Resume streams after the last event that was passed on

Cause: the framer counted each event of a chunk before it knew whether it would return the chunk. With a wrong event in the chunk it returned none, and the stream was resumed after the sound ones that it had dropped.

Now the position of a stream moves with whole sound events, and these are always returned. The same class: a wrong line behind an event's id, wrong bytes in the place of the first event, and the first event of a stream that the caller resumes itself, which wasn't checked.

--- a/src/core/gateway/stream.rs
+++ b/src/core/gateway/stream.rs
@@ -27,77 +27,135 @@
 }
 
 /// Splits a byte stream at the ends of events.
+///
+/// What it knows of the stream never goes beyond the events that it returned: a stream is resumed after the last of
+/// these, so that no event is missing.
 #[derive(Debug, Default)]
 pub struct Framer {
     buffer: Vec<u8>,
+    position: Position,
+    error: Option<Error>,
+}
+
+/// Largest id of the first event of a stream that begins anew. Nothing precedes that event whose id could confirm its
+/// own.
+const MAX_FIRST_ID: u64 = 1;
+
+/// Where a stream stands after some of its events.
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
     last_id: Option<u64>,
+    /// Whether the last id follows from the events before. That of the first event may be wrong bytes.
+    is_confirmed: bool,
     unnumbered_bytes: usize,
 }
 
+impl Position {
+    /// Returns the position after one more event.
+    fn after(mut self, event: &[u8]) -> Result<Self, Error> {
+        for line in event.split_inclusive(|&byte| byte == b'\n') {
+            let Some(id) = event_id(line) else {
+                self.unnumbered_bytes += line.len();
+                if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
+                    return Err(Error::Unnumbered);
+                }
+                continue;
+            };
+            self.unnumbered_bytes = 0;
+            self.is_confirmed = match self.last_id {
+                Some(last) if id != last + 1 => return Err(Error::Order { id, last }),
+                Some(_) => true,
+                None => id <= MAX_FIRST_ID,
+            };
+            self.last_id = Some(id);
+        }
+        Ok(self)
+    }
+}
+
 impl Framer {
     /// Creates a framer for a stream that resumes after an event.
     pub fn resume_after(last_id: Option<u64>) -> Self {
-        Self {
-            buffer: Vec::new(),
+        let position = Position {
             last_id,
+            is_confirmed: last_id.is_some(),
             unnumbered_bytes: 0,
+        };
+        Self {
+            position,
+            ..Self::default()
         }
     }
 
-    /// Adds bytes, and returns all complete events.
+    /// Adds bytes, and returns all complete events before the first wrong byte. [`Self::error`] tells whether one
+    /// followed.
     ///
     /// # Errors
     ///
-    /// [`Error`] if the stream is invalid and must not be passed on.
+    /// [`Error`] if the stream is invalid and no event is left to pass on.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, Error> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(Error::TooLong);
+        let mut end = 0;
+        while self.error.is_none()
+            && let Some(length) = event_length(&self.buffer[end..])
+        {
+            match self.position.after(&self.buffer[end..end + length]) {
+                Ok(position) => {
+                    self.position = position;
+                    end += length;
+                }
+                Err(error) => self.error = Some(error),
             }
-            return Ok(Vec::new());
-        };
+        }
+        if self.error.is_none() && self.buffer.len() - end > MAX_EVENT_BYTES {
+            self.error = Some(Error::TooLong);
+        }
         let rest = self.buffer.split_off(end);
-        let complete = std::mem::replace(&mut self.buffer, rest);
-        for line in complete.split(|&byte| byte == b'\n') {
-            self.check(line)?;
+        let events = std::mem::replace(&mut self.buffer, rest);
+        match self.error {
+            Some(error) if events.is_empty() => Err(error),
+            _ => Ok(events),
         }
-        Ok(complete)
     }
 
-    fn check(&mut self, line: &[u8]) -> Result<(), Error> {
-        let Some(id) = event_id(line) else {
-            self.unnumbered_bytes += line.len() + 1;
-            if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
-                return Err(Error::Unnumbered);
-            }
-            return Ok(());
-        };
-        self.unnumbered_bytes = 0;
-        if let Some(last) = self.last_id
-            && id != last + 1
-        {
-            return Err(Error::Order { id, last });
-        }
-        self.last_id = Some(id);
-        Ok(())
+    /// Returns why nothing after the events that were returned may be passed on.
+    pub fn error(&self) -> Option<Error> {
+        self.error
     }
 
-    /// Returns the id of the last complete event.
+    /// Returns the id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.position.last_id
+    }
+
+    /// Returns the id of the event after which the stream can be resumed, `None` if there is none that is certain: a
+    /// server that continues after a wrong id would leave out events.
+    pub fn resume_id(&self) -> Option<u64> {
+        let Position {
+            last_id,
+            is_confirmed,
+            ..
+        } = self.position;
+        last_id.filter(|_| is_confirmed)
     }
 
     /// Returns whether the stream is at the end of an event.
     pub fn is_at_boundary(&self) -> bool {
-        self.buffer.iter().all(u8::is_ascii_whitespace)
+        self.error.is_none() && self.buffer.iter().all(u8::is_ascii_whitespace)
     }
 }
 
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|two| two == b"\n\n");
-    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
-    lf.map(|index| index + 2).max(crlf.map(|index| index + 4))
+/// Returns the length of the first event, with the empty line at its end.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).position(|two| two == b"\n\n");
+    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n");
+    match (lf.map(|index| index + 2), crlf.map(|index| index + 4)) {
+        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
+        (lf, crlf) => lf.or(crlf),
+    }
 }
 
 fn event_id(line: &[u8]) -> Option<u64> {
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -27,6 +27,7 @@
 };
 use crate::{
     core::gateway::{
+        config::Kind,
         placement::load::Load,
         retry::Outcome,
         servers::Entry,
@@ -153,6 +154,13 @@
         }
     }
 
+    /// Returns the last event that the caller has of a stream which it resumes itself.
+    fn callers_last_event(&self) -> Option<u64> {
+        let last = header_text(&self.headers, &self.gateway.adapter.headers().last_event);
+        let resumes = self.route.kind == Kind::Stream { resumes: true };
+        last.trim().parse().ok().filter(|_| resumes)
+    }
+
     pub(super) async fn receive_stream(
         &self,
         slot: Slot,
@@ -170,7 +178,7 @@
             sent_unix_ms: received.sent_unix_ms,
             begun_at: self.gateway.now(),
             observation: received.observation,
-            framer: Framer::resume_after(resume),
+            framer: Framer::resume_after(resume.or_else(|| self.callers_last_event())),
         };
         match source.next().await {
             Chunk::Events(first) => {
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -81,6 +81,10 @@
 
     pub(super) async fn next(&mut self) -> Chunk {
         loop {
+            // Found behind the events that were passed on last.
+            if let Some(error) = self.framer.error() {
+                return Chunk::Lost(error.to_string());
+            }
             let frame = match self.body.frame().await {
                 None if self.framer.is_at_boundary() => {
                     if let Some(lease) = self.lease.take() {
@@ -167,14 +171,14 @@
     }
 }
 
-/// Resumes the stream at another server after the last complete event, if the route allows it.
+/// Resumes the stream at another server after the last event that was passed on, if the route allows it.
 async fn resume(
     exchange: &Rc<Exchange>,
     mut lost: Source,
     reason: &str,
 ) -> Option<(Source, Bytes)> {
     lost.finish_observation(true);
-    let last = lost.framer.last_id();
+    let last = lost.framer.resume_id();
     let server = lost.slot.server();
     let is_beginning = exchange.gateway.now().since_ms(lost.begun_at) < BEGINNING_MS;
     if is_beginning && let Some(entry) = exchange.gateway.server_entry(&server) {
