Write the events of a stream before it breaks off

Callers of a stream that can't be resumed lost events that the host had: those that were in the buffer of the HTTP library when the body ended with an error. The library closes the connection at an error and drops its buffer.

A truncated body is now pending once before its error, and the library writes its buffer while a body is pending.

--- a/src/shell/gateway/forward/reply.rs
+++ b/src/shell/gateway/forward/reply.rs
@@ -75,7 +75,7 @@
     let body = Channel {
         chunks: receiver,
         is_complete: is_complete.clone(),
-        has_ended: false,
+        end: End::Open,
     };
     let sender = Sender {
         chunks,
@@ -116,7 +116,16 @@
 struct Channel {
     chunks: mpsc::Receiver<Bytes>,
     is_complete: Arc<AtomicBool>,
-    has_ended: bool,
+    end: End,
+}
+
+/// How far the end of a channel's body has been passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Open,
+    /// Truncated, and the HTTP library is to write the chunks that it has before it learns that.
+    Flushing,
+    Ended,
 }
 
 impl hyper::body::Body for Channel {
@@ -127,17 +136,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        if self.has_ended {
-            return Poll::Ready(None);
-        }
-        match ready!(self.chunks.poll_recv(cx)) {
-            Some(chunk) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
-            None => {
-                self.has_ended = true;
-                let is_complete = self.is_complete.load(Ordering::Acquire);
-                Poll::Ready((!is_complete).then_some(Err(Truncated)))
+        match self.end {
+            End::Open => {}
+            End::Flushing => {
+                self.end = End::Ended;
+                return Poll::Ready(Some(Err(Truncated)));
             }
+            End::Ended => return Poll::Ready(None),
+        }
+        if let Some(chunk) = ready!(self.chunks.poll_recv(cx)) {
+            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        }
+        if self.is_complete.load(Ordering::Acquire) {
+            self.end = End::Ended;
+            return Poll::Ready(None);
         }
+        // The library closes the connection at an error without writing what it has buffered. It writes that while
+        // the body is pending.
+        self.end = End::Flushing;
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
