Answer the requests that a stopping host can't finish

Cause: waits for a place, for stages and for answers ended with the deadline or the caller, not with the process, though the host knew since SIGTERM when it would exit. Requests that came after SIGTERM were taken as if it had all the time.

Now a schedule of the stop says until when a request may wait: it is refused with 503 and Retry-After once a long answer wouldn't be complete in time. One that was sent is answered 502 while that can still be written. Nothing is started in the last 30 ms.

Failed before: stop_refuses_request_that_waits_for_place, stop_refuses_request_that_waits_for_stage, stop_answers_request_at_silent_server, stop_refuses_long_request_at_once, stop_starts_nothing_at_the_end (4 orders run and cut off).

--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -25,5 +25,6 @@
 pub mod retry;
 pub mod rollout;
 pub mod servers;
+pub mod shutdown;
 pub mod spillover;
 pub mod stream;
--- a/src/core/gateway/plan.rs
+++ b/src/core/gateway/plan.rs
@@ -206,6 +206,25 @@
         self.0.get(service).copied().unwrap_or(default_ms)
     }
 
+    /// Returns the expected duration of all stages of a request, in milliseconds.
+    pub fn all_stages_ms(&self, stages: &[Stage], config: &Config) -> u64 {
+        let roots = (0..stages.len()).filter(|&index| stages[index].dependencies.is_empty());
+        let chains = roots.map(|index| {
+            self.stage_ms(&stages[index], config) + self.remaining_ms(stages, index, config)
+        });
+        chains.max().unwrap_or(0)
+    }
+
+    /// Returns the expected duration of a stage, in milliseconds.
+    fn stage_ms(&self, stage: &Stage, config: &Config) -> u64 {
+        let service = config.services.get(&stage.service);
+        let default_ms = match service.map(|service| service.role) {
+            Some(Role::Stages(stages)) => stages.call_ms * 1.5,
+            _ => 0.0,
+        };
+        self.mean_ms(&stage.service, default_ms as u64)
+    }
+
     /// Returns the expected duration of the stages that follow one, in milliseconds.
     ///
     /// In a burst each stage takes longer than usual. With measured durations, a request that can't
@@ -214,16 +233,7 @@
         let dependents = stages.iter().enumerate();
         let dependents = dependents.filter(|(_, other)| other.dependencies.contains(&stage));
         let time = |(index, other): (usize, &Stage)| {
-            let default_ms = match config
-                .services
-                .get(&other.service)
-                .map(|service| service.role)
-            {
-                Some(Role::Stages(stages)) => stages.call_ms * 1.5,
-                _ => 0.0,
-            };
-            self.mean_ms(&other.service, default_ms as u64)
-                + self.remaining_ms(stages, index, config)
+            self.stage_ms(other, config) + self.remaining_ms(stages, index, config)
         };
         dependents.map(time).max().unwrap_or(0)
     }
--- a/src/shell/gateway/forward/assign.rs
+++ b/src/shell/gateway/forward/assign.rs
@@ -180,6 +180,9 @@
             if quarantines::find(&self.gateway, &self.content).is_some() {
                 return Err(self.quarantined());
             }
+            if self.is_given_up() {
+                return Err(self.left_behind());
+            }
             match self.assign_once().await {
                 Ok(slot) => return Ok(slot),
                 Err(balance::Error::Full)
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -73,6 +73,7 @@
 
 mod assign;
 mod body;
+mod leave;
 mod pipeline;
 mod receive;
 mod reply;
@@ -167,6 +168,10 @@
     arrived: Instant,
     deadline: Instant,
     may_have_run: Cell<bool>,
+    /// Whether a server may be working on the request.
+    is_sent: Cell<bool>,
+    /// When the request was first sent to a server.
+    first_sent: Cell<Option<Instant>>,
     attempts: Cell<u32>,
     /// Whether the retry budget counts the request.
     is_counted: Cell<bool>,
@@ -288,6 +293,8 @@
         arrived,
         deadline,
         may_have_run: Cell::default(),
+        is_sent: Cell::default(),
+        first_sent: Cell::default(),
         attempts: Cell::default(),
         is_counted: Cell::default(),
         stages_ms: Cell::default(),
@@ -310,9 +317,13 @@
     let gateway = exchange.gateway.clone();
     let remaining_ms = exchange.deadline.since_ms(gateway.now()) + ANSWER_GRACE_MS;
     let limit = Duration::from_millis(remaining_ms);
-    let result = tokio::time::timeout(limit, run(&exchange))
-        .await
-        .unwrap_or_else(|_| Err(exchange.deadline_refusal("deadline passed")));
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout(limit, run(&exchange)) => {
+            result.unwrap_or_else(|_| Err(exchange.deadline_refusal("deadline passed")))
+        }
+        () = exchange.given_up() => Err(exchange.leave_refusal()),
+    };
     match result {
         Ok(response) => response,
         Err(refusal) => refuse(&gateway, &exchange.id, exchange.arrived, &refusal),
@@ -320,6 +331,9 @@
 }
 
 async fn run(exchange: &Rc<Exchange>) -> Result<Response<Body>, Refusal> {
+    if exchange.is_given_up() {
+        return Err(exchange.leave_refusal());
+    }
     exchange.check_quarantine()?;
     exchange.run_stages().await?;
     loop {
@@ -431,6 +445,14 @@
 
     fn log_answered(&self, status: StatusCode, end: End, first_ms: u64) {
         let gateway = &self.gateway;
+        if end == End::Complete
+            && status.is_success()
+            && let Some(sent) = self.first_sent.get()
+        {
+            let ms = gateway.now().since_ms(sent);
+            let mut durations = gateway.answer_durations.borrow_mut();
+            durations.record(&self.route.name, ms);
+        }
         let reason = match end {
             End::Complete => "answered",
             End::Lost | End::Deadline | End::CallerLeft => "broke off",
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -91,7 +91,9 @@
         };
         self.tried.borrow_mut().push(server.clone());
         let sent_unix_ms = clock::unix_ms();
+        self.is_sent.set(true);
         let sent = self.send(slot, entry.as_ref(), sent_at, resume).await;
+        self.is_sent.set(false);
         let is_paused = |entry: &Entry| pauses::is_paused(&self.gateway, entry);
         if let (Ok(None), Some(entry)) = (&sent, &entry)
             && is_paused(entry)
@@ -179,6 +181,9 @@
             self.deadline,
             resume.is_some(),
         );
+        if self.first_sent.get().is_none() {
+            self.first_sent.set(Some(self.gateway.now()));
+        }
         let may_have_run_before = self.may_have_run.replace(true);
         slot.mark_sent();
         let sent = self
--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -152,8 +152,8 @@
     let max_open = (descriptors * purpose.percent() / 100).max(1);
     loop {
         let has_lingered = || {
-            let since = gateway.leaving_since.get();
-            since.is_some_and(|since| gateway.now().since_ms(since) >= LINGER_MS)
+            let schedule = gateway.schedule();
+            schedule.is_some_and(|schedule| schedule.elapsed_ms(gateway.now()) >= LINGER_MS)
         };
         if purpose == Purpose::Callers && has_lingered() {
             return;
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -42,6 +42,7 @@
         quarantine,
         rate::Limiter,
         servers,
+        shutdown::Schedule,
         spillover, //
     },
     edges::gateway::Adapter,
@@ -94,9 +95,6 @@
 /// looked up addresses shortly before still connect.
 const LINGER_MS: u64 = 2_500;
 
-/// Time before SIGKILL at which the process exits by itself, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 350;
-
 /// Why nothing was sent to a server that is leaving, drained or gone.
 const SERVER_UNUSABLE: &str = "server leaving or gone";
 
@@ -118,6 +116,8 @@
     batchers: RefCell<HashMap<Name, Rc<stages::Batcher>>>,
     free_queue: stages::FreeQueue,
     durations: RefCell<plan::Durations>,
+    /// Durations of whole answers after the stages, by route.
+    answer_durations: RefCell<plan::Durations>,
     dispatcher: RefCell<Dispatcher>,
     datagrams: datagrams::State,
     overview: RefCell<Option<Rc<Overview>>>,
@@ -137,9 +137,12 @@
     running: Cell<usize>,
     /// Bytes of buffered request bodies.
     buffered_bytes: Cell<usize>,
-    /// Time of SIGTERM.
-    leaving_since: Cell<Option<Instant>>,
+    /// Schedule of the stop, since SIGTERM.
+    shutdown: tokio::sync::watch::Sender<Option<Schedule>>,
+    /// Whether connections of callers close after the response in progress.
     draining: tokio::sync::watch::Sender<bool>,
+    /// Whether the process is about to exit, so that no request is started any more.
+    is_ending: Cell<bool>,
     identity: Identity,
 }
 
@@ -199,11 +202,14 @@
         self.options.borrow().region_of(data_centre)
     }
 
+    /// Returns the schedule of the stop if the host got SIGTERM.
+    fn schedule(&self) -> Option<Schedule> {
+        *self.shutdown.borrow()
+    }
+
     /// Returns whether this host can serve callers.
     fn is_ready(&self) -> bool {
-        self.leaving_since.get().is_none()
-            && self.config.borrow().is_some()
-            && self.store.has_servers.get()
+        self.schedule().is_none() && self.config.borrow().is_some() && self.store.has_servers.get()
     }
 }
 
@@ -273,6 +279,7 @@
         batchers: RefCell::default(),
         free_queue: stages::FreeQueue::default(),
         durations: RefCell::default(),
+        answer_durations: RefCell::default(),
         dispatcher: RefCell::new(dispatcher),
         datagrams: datagrams::State::default(),
         overview: RefCell::default(),
@@ -288,8 +295,9 @@
         callers: front::Connections::default(),
         running: Cell::default(),
         buffered_bytes: Cell::default(),
-        leaving_since: Cell::default(),
+        shutdown: tokio::sync::watch::Sender::new(None),
         draining: tokio::sync::watch::Sender::new(false),
+        is_ending: Cell::default(),
         identity,
     }))
 }
@@ -348,26 +356,25 @@
 /// Drains the host: stops accepting callers, and returns once no request runs and the callers have their responses,
 /// or the grace period ends.
 async fn drain(gateway: &Rc<Gateway>) {
-    let now = gateway.now();
-    gateway.leaving_since.set(Some(now));
+    let grace_ms = gateway.options.borrow().bounds.grace_ms;
+    let schedule = Schedule::new(gateway.now(), grace_ms);
+    gateway.shutdown.send_replace(Some(schedule));
     let running = gateway.running.get();
     gateway.log.write(&Event::Stop {
         step: "leaving",
         running,
         undelivered: gateway.callers.undelivered(),
     });
-    let grace_ms = gateway.options.borrow().bounds.grace_ms;
-    let deadline = now.after_ms(grace_ms.saturating_sub(EXIT_MARGIN_MS));
     store::announce_leave(gateway).await;
-    // From here on, connections close after the response in progress.
-    let _ = gateway.draining.send(true);
-    while gateway.now() < deadline {
-        let lingered = gateway.now().since_ms(now) >= LINGER_MS;
+    gateway.draining.send_replace(true);
+    while gateway.now() < schedule.exit_at() {
+        let lingered = schedule.elapsed_ms(gateway.now()) >= LINGER_MS;
         if lingered && gateway.running.get() == 0 && gateway.callers.undelivered() == 0 {
             break;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    gateway.is_ending.set(true);
     gateway.log.write(&Event::Stop {
         step: "end",
         running: gateway.running.get(),
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -175,7 +175,7 @@
         region: gateway.identity.region.clone(),
         incarnation: state.incarnation.get(),
         sequence,
-        serving: gateway.leaving_since.get().is_none(),
+        serving: gateway.schedule().is_none(),
         config_version: gateway.config().map(|config| config.version),
         key: gateway.key.get().cloned(),
         capacity: gateway.options.borrow().process.processor,
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod retry;
 mod rollout;
 mod servers;
+mod shutdown;
 mod spillover;
 mod stream;
 
