Keep connections to peers that read nothing for some seconds

Cause: Linux counts TCP_USER_TIMEOUT also while the peer's window is closed, where it acknowledges probes. So it didn't tell a slow peer from a lost one.

A trial of the socket alone: while the window is closed, all bytes in the send buffer are unsent (SIOCOUTQ equals SIOCOUTQNSD) and probes are acknowledged for 5 s.

Now a connection whose peer has acknowledged all that was sent and has no room waits for 20 s, the longest deadline; all others for 1.5 s as before.

Failed before: slow_caller_gets_whole_stream (10,220 bytes), slow_caller_gets_whole_stream_of_stopping_host (10,220 bytes), slow_server_gets_whole_request (502).

--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -28,3 +28,4 @@
 pub mod shutdown;
 pub mod spillover;
 pub mod stream;
+pub mod window;
--- a/src/shell/gateway/front/delivery.rs
+++ b/src/shell/gateway/front/delivery.rs
@@ -9,17 +9,11 @@
         RefCell, //
     },
     collections::BTreeMap,
-    io,
     rc::Rc,
     time::Duration,
 };
 
-use rustix::ioctl::{
-    Getter,
-    Opcode,
-    ioctl, //
-};
-use tokio::net::TcpStream;
+use crate::shell::gateway::net::Socket;
 
 /// Interval at which a closed connection is checked for bytes in its socket's send buffer, in milliseconds.
 const POLL_MS: u64 = 20;
@@ -28,21 +22,17 @@
 /// milliseconds. A host is stopped within as much, and callers that read nothing must not keep sockets for longer.
 const MAX_CLOSING_MS: u64 = 10_000;
 
-/// Request code of `SIOCOUTQ`: the number of bytes in the send buffer of a socket that its peer hasn't
-/// acknowledged. The same on the architectures on which Linux numbers terminal requests from 0x5400.
-const SIOCOUTQ: Opcode = 0x5411;
-
 /// Connection of a caller.
 pub(super) struct Connection {
-    pub(super) stream: RefCell<TcpStream>,
+    pub(super) socket: Rc<Socket>,
     /// Whether a response has begun whose bytes aren't all handed to the system.
     is_unflushed: Cell<bool>,
 }
 
 impl Connection {
-    pub(super) fn new(stream: TcpStream) -> Rc<Self> {
+    pub(super) fn new(socket: Rc<Socket>) -> Rc<Self> {
         Rc::new(Self {
-            stream: RefCell::new(stream),
+            socket,
             is_unflushed: Cell::default(),
         })
     }
@@ -58,25 +48,8 @@
     }
 
     fn has_undelivered(&self) -> bool {
-        self.is_unflushed.get() || self.has_unacknowledged()
-    }
-
-    /// Returns whether bytes are in the send buffer for a caller that is still there. Where the system doesn't tell,
-    /// what it took counts as delivered.
-    fn has_unacknowledged(&self) -> bool {
-        let stream = self.stream.borrow();
-        // A socket whose connection was reset or timed out has no peer, but may keep its count.
-        stream.peer_addr().is_ok() && unacknowledged_bytes(&stream).is_ok_and(|bytes| bytes > 0)
-    }
-}
-
-fn unacknowledged_bytes(stream: &TcpStream) -> io::Result<i32> {
-    if !cfg!(target_os = "linux") {
-        return Err(io::ErrorKind::Unsupported.into());
+        self.is_unflushed.get() || self.socket.has_unacknowledged()
     }
-    // SAFETY: on Linux this request of a TCP socket writes one `int`.
-    let bytes = unsafe { ioctl(stream, Getter::<SIOCOUTQ, i32>::new()) };
-    Ok(bytes?)
 }
 
 /// Connections of callers.
@@ -124,7 +97,7 @@
 pub(super) async fn finish(connection: &Connection) {
     connection.record_flush();
     let mut waited_ms = 0;
-    while waited_ms < MAX_CLOSING_MS && connection.has_unacknowledged() {
+    while waited_ms < MAX_CLOSING_MS && connection.socket.has_unacknowledged() {
         tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
         waited_ms += POLL_MS;
     }
--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -186,7 +186,7 @@
     let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_timeout_ms);
     let head_ms = limits.map_or(DEFAULT_HEAD_MS, |limits| limits.head_timeout_ms);
     let monitor = Monitor::new();
-    let caller = Connection::new(stream);
+    let caller = Connection::new(gateway.sockets.insert(stream));
     let is_caller = purpose == Purpose::Callers;
     let _listed = is_caller.then(|| gateway.callers.insert(&caller));
     let service = service_fn(|request| {
--- a/src/shell/gateway/front/slow_head.rs
+++ b/src/shell/gateway/front/slow_head.rs
@@ -149,8 +149,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let mut stream = self.connection.stream.borrow_mut();
-        let poll = Pin::new(&mut *stream).poll_read(cx, buffer);
+        let poll = self.connection.socket.poll_read(cx, buffer);
         if buffer.filled().len() > before {
             self.monitor.record_bytes();
         }
@@ -164,7 +163,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.connection.stream.borrow_mut()).poll_write(cx, bytes)
+        self.connection.socket.poll_write(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -172,15 +171,15 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.connection.stream.borrow_mut()).poll_write_vectored(cx, bytes)
+        self.connection.socket.poll_write_vectored(cx, bytes)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.connection.stream.borrow().is_write_vectored()
+        self.connection.socket.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let poll = Pin::new(&mut *self.connection.stream.borrow_mut()).poll_flush(cx);
+        let poll = self.connection.socket.poll_flush(cx);
         // The library flushes a connection once its own buffer is empty.
         if matches!(poll, Poll::Ready(Ok(()))) && !self.monitor.is_busy() {
             self.connection.record_flush();
@@ -189,6 +188,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.connection.stream.borrow_mut()).poll_shutdown(cx)
+        self.connection.socket.poll_shutdown(cx)
     }
 }
--- a/src/shell/gateway/head_limit.rs
+++ b/src/shell/gateway/head_limit.rs
@@ -14,15 +14,14 @@
     },
 };
 
-use tokio::{
-    io::{
-        AsyncRead,
-        AsyncWrite,
-        ReadBuf, //
-    },
-    net::TcpStream,
+use tokio::io::{
+    AsyncRead,
+    AsyncWrite,
+    ReadBuf, //
 };
 
+use super::net::Socket;
+
 /// Maximum number of bytes before a response, in bytes. Larger than the read buffer of a connection,
 /// which may hold the beginning of the body together with the head.
 const MAX_BYTES: usize = 256 * 1024;
@@ -45,16 +44,16 @@
 
 /// A connection to a server, with a limit on the bytes that it receives.
 pub(super) struct Stream {
-    stream: TcpStream,
+    socket: Rc<Socket>,
     budget: Budget,
 }
 
 impl Stream {
     /// Wraps a connection. Returns it with its budget.
-    pub(super) fn new(stream: TcpStream) -> (Self, Budget) {
+    pub(super) fn new(socket: Rc<Socket>) -> (Self, Budget) {
         let budget = Budget(Rc::new(Cell::new(MAX_BYTES)));
         let limited = Self {
-            stream,
+            socket,
             budget: budget.clone(),
         };
         (limited, budget)
@@ -63,7 +62,7 @@
 
 impl AsyncRead for Stream {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -72,7 +71,7 @@
             return Poll::Ready(Err(io::Error::other("too many bytes before a response")));
         }
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let result = self.socket.poll_read(cx, buffer);
         if budget != usize::MAX {
             let received = buffer.filled().len() - before;
             self.budget.0.set(budget.saturating_sub(received));
@@ -83,30 +82,30 @@
 
 impl AsyncWrite for Stream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.socket.poll_write(cx, bytes)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.socket.poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        self.socket.poll_write_vectored(cx, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -127,6 +127,7 @@
     pauses: RefCell<pause::Table>,
     // Counts calls with pieces for the rates that servers name.
     stage_limiter: RefCell<Limiter>,
+    sockets: Rc<net::Sockets>,
     pool: Rc<upstream::Pool>,
     store: store::State,
     rollouts: rollouts::State,
@@ -241,6 +242,7 @@
     front::spawn(&gateway, listeners);
     tokio::task::spawn_local(peers::probe_suspects(gateway.clone()));
     tokio::task::spawn_local(peers::fetch_state(gateway.clone()));
+    tokio::task::spawn_local(gateway.sockets.clone().watch());
     tokio::task::spawn_local(tick(gateway.clone()));
     tokio::task::spawn_local(rollouts::run(gateway.clone()));
     tokio::task::spawn_local(reload(gateway.clone(), read));
@@ -265,6 +267,7 @@
     };
     let logger = logging::open(std::io::stdout(), LogLevel::Info);
     let dispatcher = Dispatcher::new(clock.now(), draw_incarnation());
+    let sockets: Rc<net::Sockets> = Rc::default();
     Ok(Rc::new(Gateway {
         options: RefCell::new(options),
         adapter,
@@ -288,7 +291,8 @@
         limits: RefCell::default(),
         pauses: RefCell::default(),
         stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
-        pool: upstream::Pool::new(clock),
+        pool: upstream::Pool::new(clock, sockets.clone()),
+        sockets,
         store: store::State::default(),
         rollouts: rollouts::State::default(),
         key: OnceCell::new(),
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -153,6 +153,7 @@
 /// Pool of connections by peer.
 pub struct Pool {
     clock: Clock,
+    sockets: Rc<net::Sockets>,
     open: RefCell<HashMap<Name, usize>>,
     idle: RefCell<HashMap<Name, Vec<IdleConnection>>>,
 }
@@ -207,9 +208,10 @@
 
 impl Pool {
     /// Creates an empty pool.
-    pub fn new(clock: Clock) -> Rc<Self> {
+    pub fn new(clock: Clock, sockets: Rc<net::Sockets>) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            sockets,
             open: RefCell::default(),
             idle: RefCell::default(),
         })
@@ -301,7 +303,7 @@
         let stream = net::connect(address, CONNECT_MS)
             .await
             .map_err(|error| not_sent(&error))?;
-        let (stream, budget) = head_limit::Stream::new(stream);
+        let (stream, budget) = head_limit::Stream::new(self.sockets.insert(stream));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod shutdown;
 mod spillover;
 mod stream;
+mod window;
 
 use teaselchute::{
     core::gateway::{
