Bound what a host holds for callers that read slowly

A host stopped to read a stream once 16 parts of it waited for the caller, and servers cut off responses that are unread for some seconds. On the other hand nothing bounded the parts and the whole responses of all slow callers together.

Now responses are accounted for over the host: up to 1 MiB of a stream and 15% of the process's memory of all. At the bound the host stops reading, each stream goes on by a little, and whole responses are read once they fit.

--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod content;
 pub mod dispatch;
+pub mod holding;
 pub mod hosts;
 pub mod limits;
 pub mod lookup;
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -58,6 +58,8 @@
     time::Instant,
 };
 
+pub(super) use held::Memory;
+use held::Whole;
 pub(super) use reply::{
     Body,
     Truncated,
@@ -73,6 +75,7 @@
 
 mod assign;
 mod body;
+mod held;
 mod leave;
 mod pipeline;
 mod receive;
@@ -436,11 +439,11 @@
             && !organisation.is_some_and(|organisation| excludes(&organisation.regions))
     }
 
-    fn deliver(&self, response: Response<Bytes>) -> Response<Body> {
+    fn deliver(&self, response: Response<Whole>) -> Response<Body> {
         let (mut head, body) = response.into_parts();
         remove_hop_headers(&mut head.headers);
         self.log_answered(head.status, End::Complete, self.elapsed_ms());
-        Response::from_parts(head, full_body(body))
+        Response::from_parts(head, body.into_body())
     }
 
     fn log_answered(&self, status: StatusCode, end: End, first_ms: u64) {
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -9,11 +9,15 @@
     BodyExt,
     Limited, //
 };
-use hyper::body::Incoming;
+use hyper::body::{
+    Body as _,
+    Incoming, //
+};
 
 use super::{
     Exchange,
     assign::Slot,
+    held::Whole,
     reply::header_text,
     send::{
         Answer,
@@ -134,8 +138,8 @@
             ..
         } = received;
         let (head, body) = response.into_parts();
-        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-            Ok(body) => {
+        match self.read_whole(body).await {
+            Ok(whole) => {
                 if is_named {
                     lease.finish();
                 }
@@ -144,7 +148,7 @@
                 if status.is_success() {
                     quarantines::observe_answer(&self.gateway, sent_unix_ms, &self.content);
                 }
-                Ok(Answer::Whole(Response::from_parts(head, body.to_bytes())))
+                Ok(Answer::Whole(Response::from_parts(head, whole)))
             }
             Err(error) => {
                 Observation::finish(observation, true);
@@ -154,6 +158,25 @@
         }
     }
 
+    /// Reads a whole response, once the host may hold as much for its callers.
+    async fn read_whole(
+        &self,
+        body: Incoming,
+    ) -> Result<Whole, Box<dyn std::error::Error + Send + Sync>> {
+        let share = self.gateway.held.open();
+        let length = body.size_hint().exact();
+        let length = length.and_then(|length| usize::try_from(length).ok());
+        if let Some(length) = length {
+            share.add_whole(length.min(MAX_ANSWER_BYTES)).await;
+        }
+        let bytes = Limited::new(body, MAX_ANSWER_BYTES).collect().await?;
+        let bytes = bytes.to_bytes();
+        if length.is_none() {
+            share.add(bytes.len());
+        }
+        Ok(Whole::new(bytes, share))
+    }
+
     /// Returns the last event that the caller has of a stream which it resumes itself.
     fn callers_last_event(&self) -> Option<u64> {
         let last = header_text(&self.headers, &self.gateway.adapter.headers().last_event);
@@ -213,7 +236,8 @@
             }
             Chunk::End => {
                 source.finish_observation(false);
-                Ok(Answer::Whole(Response::from_parts(head, Bytes::new())))
+                let whole = Whole::new(Bytes::new(), self.gateway.held.open());
+                Ok(Answer::Whole(Response::from_parts(head, whole)))
             }
             Chunk::Lost(reason) => {
                 source.finish_observation(true);
--- a/src/shell/gateway/forward/reply.rs
+++ b/src/shell/gateway/forward/reply.rs
@@ -33,15 +33,13 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc;
 
+use super::held::Share;
 use crate::shell::gateway::{
     Gateway,
     log::Event, //
 };
 use crate::time::Instant;
 
-/// Chunks of a stream that are buffered for a slow caller.
-const MAX_BUFFERED_CHUNKS: usize = 16;
-
 /// Default retry delay of a refusal, in seconds.
 pub(super) const DEFAULT_RETRY_AFTER_S: f64 = 0.5;
 
@@ -66,19 +64,24 @@
 #[error("the stream broke off")]
 pub(in crate::shell::gateway) struct Truncated;
 
-/// Opens a body with a first chunk, so that it is written together with the head. A task sends the others.
-pub(super) fn channel_body(first: Bytes) -> (Sender, Body) {
-    let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    // The channel is empty and can't be full.
-    let _ = chunks.try_send(first);
+/// Opens a body with a first chunk, so that it is written together with the head. A task sends the others. What the
+/// caller hasn't taken is held in `share`.
+pub(super) fn channel_body(first: Bytes, share: Share) -> (Sender, Body) {
+    let (chunks, receiver) = mpsc::unbounded_channel();
+    let share = Arc::new(share);
+    share.add(first.len());
+    // The receiver exists, so this can't fail.
+    let _ = chunks.send(first);
     let is_complete = Arc::new(AtomicBool::new(false));
     let body = Channel {
         chunks: receiver,
+        share: share.clone(),
         is_complete: is_complete.clone(),
         end: End::Open,
     };
     let sender = Sender {
         chunks,
+        share,
         is_complete,
     };
     (sender, UnsyncBoxBody::new(body))
@@ -88,18 +91,20 @@
 /// [`Sender::finish`], so that a task that is cancelled or waits for a slow caller need not send anything
 /// for that.
 pub(super) struct Sender {
-    chunks: mpsc::Sender<Bytes>,
+    chunks: mpsc::UnboundedSender<Bytes>,
+    share: Arc<Share>,
     is_complete: Arc<AtomicBool>,
 }
 
 impl Sender {
-    /// Sends a chunk. Waits while the caller reads slowly.
+    /// Sends a chunk. Waits while the caller reads slowly and the chunk can't be held for it.
     ///
     /// # Errors
     ///
     /// [`Truncated`] if the caller left.
     pub(super) async fn send(&self, chunk: Bytes) -> Result<(), Truncated> {
-        self.chunks.send(chunk).await.map_err(|_| Truncated)
+        self.share.add_part(chunk.len()).await;
+        self.chunks.send(chunk).map_err(|_| Truncated)
     }
 
     /// Waits until the caller left.
@@ -114,7 +119,8 @@
 }
 
 struct Channel {
-    chunks: mpsc::Receiver<Bytes>,
+    chunks: mpsc::UnboundedReceiver<Bytes>,
+    share: Arc<Share>,
     is_complete: Arc<AtomicBool>,
     end: End,
 }
@@ -145,6 +151,7 @@
             End::Ended => return Poll::Ready(None),
         }
         if let Some(chunk) = ready!(self.chunks.poll_recv(cx)) {
+            self.share.release(chunk.len());
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         if self.is_complete.load(Ordering::Acquire) {
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -14,6 +14,7 @@
 use super::{
     Exchange,
     assign::Slot,
+    held::Whole,
     receive::Received,
     reply::{
         HOP_HEADERS,
@@ -61,7 +62,7 @@
 
 /// A server's response to an attempt.
 pub(super) enum Answer {
-    Whole(Response<Bytes>),
+    Whole(Response<Whole>),
     Stream(Box<Stream>),
 }
 
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -116,7 +116,7 @@
             first,
             source,
         } = *self;
-        let (sender, body) = channel_body(first);
+        let (sender, body) = channel_body(first, exchange.gateway.held.open());
         let first_ms = exchange.elapsed_ms();
         let status = head.status;
         let exchange = exchange.clone();
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -127,6 +127,8 @@
     pauses: RefCell<pause::Table>,
     // Counts calls with pieces for the rates that servers name.
     stage_limiter: RefCell<Limiter>,
+    /// Bytes of responses that are held for callers.
+    held: Arc<forward::Memory>,
     sockets: Rc<net::Sockets>,
     pool: Rc<upstream::Pool>,
     store: store::State,
@@ -268,6 +270,7 @@
     let logger = logging::open(std::io::stdout(), LogLevel::Info);
     let dispatcher = Dispatcher::new(clock.now(), draw_incarnation());
     let sockets: Rc<net::Sockets> = Rc::default();
+    let held = forward::Memory::new(options.process.memory_mb);
     Ok(Rc::new(Gateway {
         options: RefCell::new(options),
         adapter,
@@ -291,6 +294,7 @@
         limits: RefCell::default(),
         pauses: RefCell::default(),
         stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
+        held,
         pool: upstream::Pool::new(clock, sockets.clone()),
         sockets,
         store: store::State::default(),
--- a/tests/core/gateway/mod.rs
+++ b/tests/core/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod config;
 mod content;
 mod dispatch;
+mod holding;
 mod hosts;
 mod limits;
 mod mac;
