Answer the first request of connections that are opened while a host stops

Callers that looked up the address of a host shortly before its SIGTERM still connect for 2.5 s. About half of their connections were closed before anything was read, which cost them an attempt.

Cause: once the host drains, a new connection is shut down gracefully at once, and the HTTP library closes one on which nothing has arrived. The select between the two is random, so the other half was served.

Evidence: stop_refuses_long_request_at_once failed in 3 of 6 runs; its output shows a request sent 2.0 s after SIGTERM whose connection ended 0.6 to 0.8 ms later.

A connection without a request now waits for one, for as long as the host lingers, before it is shut down.

Failed before: stop_answers_new_connections. It passes now, with all 10 tests of stops.

--- a/src/shell/gateway/front/delivery.rs
+++ b/src/shell/gateway/front/delivery.rs
@@ -13,6 +13,8 @@
     time::Duration,
 };
 
+use tokio::sync::Notify;
+
 use crate::shell::gateway::net::Socket;
 
 /// Interval at which a closed connection is checked for bytes in its socket's send buffer, in milliseconds.
@@ -27,6 +29,8 @@
     pub(super) socket: Rc<Socket>,
     /// Whether a response has begun whose bytes aren't all handed to the system.
     is_unflushed: Cell<bool>,
+    has_request: Cell<bool>,
+    first_request: Notify,
 }
 
 impl Connection {
@@ -34,12 +38,27 @@
         Rc::new(Self {
             socket,
             is_unflushed: Cell::default(),
+            has_request: Cell::default(),
+            first_request: Notify::new(),
         })
     }
 
     /// Records that a request was read, whose response is to be delivered.
     pub(super) fn record_request(&self) {
         self.is_unflushed.set(true);
+        if !self.has_request.replace(true) {
+            self.first_request.notify_one();
+        }
+    }
+
+    /// Returns whether a request was read.
+    pub(super) fn has_request(&self) -> bool {
+        self.has_request.get()
+    }
+
+    /// Waits until a request was read.
+    pub(super) async fn first_request(&self) {
+        self.first_request.notified().await;
     }
 
     /// Records that nothing more will be handed to the system.
--- a/src/shell/gateway/front/mod.rs
+++ b/src/shell/gateway/front/mod.rs
@@ -223,6 +223,15 @@
         }
         _ = draining.wait_for(|draining| *draining && is_caller) => {}
     }
+    // The library would close a connection on which nothing has arrived. Its caller has just opened it to send a
+    // request, and looked up the address when this host was still named.
+    if !caller.has_request() {
+        tokio::select! {
+            _ = connection.as_mut() => return finish(&caller).await,
+            () = caller.first_request() => {}
+            () = tokio::time::sleep(Duration::from_millis(LINGER_MS)) => {}
+        }
+    }
     connection.as_mut().graceful_shutdown();
     // Only the connections of callers are drained.
     let _ = connection.await;
