Take a server's second refusal of a request for no proof

Cause: the id of an answer names the request, not the attempt. After a pause an order was sent again to the server that had turned it away, and a late copy of that refusal passed for the answer to the second attempt.

Keeping the request off its former connections was tried and reverted: the case still failed, since the copy comes on a new connection as well.

Now a request that must run once returns to no server that turned it away. For the others a second refusal by the same server leaves open whether they ran, and closes the connection.

--- a/src/core/gateway/retry.rs
+++ b/src/core/gateway/retry.rs
@@ -47,6 +47,14 @@
     }
 }
 
+/// Returns whether a request that a server turned away may be sent to it again, such as after a pause.
+///
+/// The answer names the request, not the attempt. A late copy of the first refusal can't be told from the answer to a
+/// second attempt, which runs then, so a request that must run only once is turned away by a server only once.
+pub fn may_return(kind: Kind) -> bool {
+    kind.is_repeatable()
+}
+
 fn after_loss(kind: Kind) -> Action {
     if kind.is_repeatable() {
         Action::Retry
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -180,6 +180,8 @@
     is_counted: Cell<bool>,
     stages_ms: Cell<u64>,
     tried: RefCell<Vec<Name>>,
+    /// Servers that have turned the request away.
+    refused_by: RefCell<Vec<Name>>,
     results: Results,
     inputs: RefCell<Vec<Name>>,
     /// Time after which a refused request may find a server, in milliseconds, if that is known.
@@ -302,6 +304,7 @@
         is_counted: Cell::default(),
         stages_ms: Cell::default(),
         tried: RefCell::default(),
+        refused_by: RefCell::default(),
         results: Results {
             gateway: gateway.clone(),
             outputs: RefCell::default(),
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -105,10 +105,16 @@
             limits::observe(&self.gateway, entry, sent, response.headers());
         }
         if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
-            self.may_have_run.set(may_have_run_before);
+            // A second refusal by the same server may be a late copy of the first, while the request runs.
+            let is_conclusive = !self.refused_by.borrow().contains(&server);
+            self.refused_by.borrow_mut().push(server.clone());
+            if is_conclusive {
+                self.may_have_run.set(may_have_run_before);
+            }
             Observation::discard(observation);
             let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
-            if body.collect().await.is_ok() && is_named {
+            // Otherwise the server may be at work on the request, and the end of the connection tells it to stop.
+            if body.collect().await.is_ok() && is_named && is_conclusive {
                 received.lease.finish();
             }
             slot.release(status.as_u16() == 421);
--- a/src/shell/gateway/forward/send.rs
+++ b/src/shell/gateway/forward/send.rs
@@ -25,7 +25,10 @@
 use crate::{
     core::gateway::{
         balance,
-        retry::Outcome,
+        retry::{
+            self,
+            Outcome, //
+        },
         servers::Entry, //
     },
     names::Name,
@@ -101,11 +104,13 @@
         {
             pauses::count(&self.gateway, &entry.service, "held_back");
         }
-        let is_not_run = match &sent {
+        let may_return = match &sent {
             Ok(answer) => answer.is_none(),
-            Err(failure) => failure.outcome == Outcome::NotRun,
+            Err(failure) => {
+                failure.outcome == Outcome::NotRun && retry::may_return(self.route.kind)
+            }
         };
-        if is_not_run && entry.as_ref().is_some_and(is_paused) {
+        if may_return && entry.as_ref().is_some_and(is_paused) {
             // It didn't fail the request, which may run there after the pause.
             self.tried.borrow_mut().retain(|tried| *tried != server);
         }
--- a/tests/core/gateway/retry.rs
+++ b/tests/core/gateway/retry.rs
@@ -4,7 +4,8 @@
         Action,
         Outcome,
         decide,
-        exhausted, //
+        exhausted,
+        may_return, //
     },
 };
 
@@ -75,3 +76,12 @@
     assert_eq!(exhausted(false), Action::Refuse);
     assert_eq!(exhausted(true), Action::Fail);
 }
+
+/// A copy of a refusal passed for the answer to a second attempt at the same server.
+#[test]
+fn may_return_repeatable_only() {
+    assert!(!may_return(Kind::Unsafe));
+    assert!(!may_return(Kind::Stream { resumes: false }));
+    assert!(may_return(Kind::Safe));
+    assert!(may_return(Kind::Stream { resumes: true }));
+}
