Accept answers without an id on new connections only

Cause: a second answer to an earlier request, without an id, arrived where the answer to the next one was expected, and passed for it.

The test shows 500 with the text of the order before.

On a connection that carried another request before, an answer without an id now counts as lost.

Failed before: error_without_id_not_taken_for_next.

--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -85,16 +85,25 @@
         };
         let status = response.status();
         let echo = header_text(response.headers(), &names.request);
-        // A late copy of a response that names no request can't be told from the response to the next
-        // request, so its connection isn't used again.
+        // A second response to an earlier request that names none can't be told from the response to this one. So it
+        // is accepted on a new connection only, which isn't used again. A refusal does no harm to a request that may
+        // run twice.
         let is_named = !echo.is_empty();
-        if !echo.is_empty() && echo != &*self.id {
+        let is_refusal = response.headers().contains_key(&names.not_run) || status.as_u16() == 421;
+        let foreign = if is_named && echo != &*self.id {
+            Some("answer to another request")
+        } else if !is_named
+            && received.lease.is_reused()
+            && !(is_refusal && self.route.kind.is_repeatable())
+        {
+            Some("answer that may be to an earlier request")
+        } else {
+            None
+        };
+        if let Some(reason) = foreign {
             Observation::finish(observation, true);
             slot.release(true);
-            return Err(failure(
-                Outcome::Lost,
-                "answer to another request".to_string(),
-            ));
+            return Err(failure(Outcome::Lost, reason.to_string()));
         }
         departures::observe(&self.gateway, entry, status, response.headers());
         let sent_at = received.sent_at;
@@ -104,7 +113,7 @@
             let sent = received.sent_unix_ms;
             limits::observe(&self.gateway, entry, sent, response.headers());
         }
-        if response.headers().contains_key(&names.not_run) || status.as_u16() == 421 {
+        if is_refusal {
             // A second refusal by the same server may be a late copy of the first, while the request runs.
             let is_conclusive = !self.refused_by.borrow().contains(&server);
             self.refused_by.borrow_mut().push(server.clone());
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -165,6 +165,7 @@
     peer: Name,
     connection: Option<Connection>,
     keep_ms: u64,
+    is_reused: bool,
 }
 
 impl Drop for Lease {
@@ -186,6 +187,12 @@
         connection.last_answer.replace(hash) == Some(hash)
     }
 
+    /// Returns whether the connection has carried another request before, whose server may send a second response to
+    /// it where this one is expected.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the connection to the pool after its response was read completely.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -406,6 +413,7 @@
                 peer: peer.clone(),
                 connection: None,
                 keep_ms: 0,
+                is_reused: !is_new,
             };
             let abort = AbortOnDrop(Some(task));
             if is_held_back() {
