Take a response that ends before the request is sent for broken off

Cause: a body without a length ends with its connection, and nothing asked whether the request had been written by then.

Evidence: an upload of 4 MB to a server that reads nothing and closes its side: 200 with a regular end.

The body of every response now fails in this case.

--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -9,10 +9,7 @@
     BodyExt,
     Limited, //
 };
-use hyper::body::{
-    Body as _,
-    Incoming, //
-};
+use hyper::body::Body as _;
 
 use super::{
     Exchange,
@@ -38,13 +35,14 @@
         stream::Framer, //
     },
     shell::gateway::{
-        departures,
-        limits,
+        departures, limits,
         log::Progress,
-        pauses,
-        quarantines,
+        pauses, quarantines,
         rollouts::Observation,
-        upstream::Lease, //
+        upstream::{
+            self,
+            Lease, //
+        },
     },
     time::Instant,
 };
@@ -54,7 +52,7 @@
 
 /// Response of a server whose body is unread.
 pub(super) struct Received {
-    pub(super) response: Response<Incoming>,
+    pub(super) response: Response<upstream::Body>,
     pub(super) lease: Lease,
     pub(super) sent_unix_ms: u64,
     pub(super) sent_at: Instant,
@@ -176,7 +174,7 @@
     /// Reads a whole response, once the host may hold as much for its callers.
     async fn read_whole(
         &self,
-        body: Incoming,
+        body: upstream::Body,
     ) -> Result<Whole, Box<dyn std::error::Error + Send + Sync>> {
         let share = self.gateway.held.open();
         let length = body.size_hint().exact();
@@ -207,8 +205,7 @@
     ) -> Result<Answer, Error> {
         let server = slot.server();
         let (head, body) = received.response.into_parts();
-        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-        let is_unframed = !framing.iter().any(|name| head.headers.contains_key(name));
+        let is_unframed = body.is_unframed();
         let mut source = Source {
             body,
             lease: Some(received.lease),
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::{
     core::gateway::{
@@ -25,7 +24,10 @@
         },
         quarantines,
         rollouts::Observation,
-        upstream::Lease, //
+        upstream::{
+            self,
+            Lease, //
+        },
     },
     time::Instant,
 };
@@ -51,7 +53,7 @@
 
 /// The server's side of a stream.
 pub(super) struct Source {
-    pub(super) body: Incoming,
+    pub(super) body: upstream::Body,
     pub(super) lease: Option<Lease>,
     pub(super) slot: Slot,
     pub(super) sent_unix_ms: u64,
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -19,7 +19,6 @@
     Full,
     Limited, //
 };
-use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use tokio::sync::oneshot;
 
@@ -523,7 +522,7 @@
     call: &Call,
     entry: &Entry,
     (sent_at, sent_unix_ms): (Instant, u64),
-    sent: impl Future<Output = Result<(Response<Incoming>, upstream::Lease), upstream::Error>>,
+    sent: impl Future<Output = Result<(Response<upstream::Body>, upstream::Lease), upstream::Error>>,
 ) -> Completion {
     let (response, mut lease) = match sent.await {
         Ok(sent) => sent,
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -4,14 +4,23 @@
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
+    pin::Pin,
     rc::Rc,
-    time::Duration, //
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http::{
-    Request,
-    Response, //
+    Request, Response,
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
 };
 use http_body_util::{
     BodyExt,
@@ -19,7 +28,11 @@
     Limited, //
 };
 use hyper::{
-    body::Incoming,
+    body::{
+        Frame,
+        Incoming,
+        SizeHint, //
+    },
     client::conn::http1::{
         self,
         SendRequest, //
@@ -32,7 +45,7 @@
     clock::Clock,
     head_limit::{
         self,
-        Budget, //
+        Progress, //
     },
     net, //
 };
@@ -80,6 +93,68 @@
     HeldBack,
 }
 
+/// Why the body of a response ended early.
+#[derive(Debug, thiserror::Error)]
+pub enum BodyError {
+    /// The connection failed.
+    #[error(transparent)]
+    Connection(#[from] hyper::Error),
+    /// Its length isn't stated, and it ended with the connection before the whole request was written. A server that
+    /// breaks off ends it in the same way.
+    #[error("ended before the request was written")]
+    Early,
+}
+
+/// Body of a response.
+pub struct Body {
+    incoming: Incoming,
+    progress: Progress,
+    // Whether it ends with the connection.
+    is_unframed: bool,
+}
+
+impl Body {
+    fn new(response: Response<Incoming>, progress: &Progress) -> Response<Self> {
+        let framing = [CONTENT_LENGTH, TRANSFER_ENCODING];
+        let headers = response.headers();
+        let is_unframed = !framing.iter().any(|name| headers.contains_key(name));
+        response.map(|incoming| Self {
+            incoming,
+            progress: progress.clone(),
+            is_unframed,
+        })
+    }
+
+    /// Returns whether the body ends with the connection, since its length isn't stated.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        if frame.is_none() && self.is_unframed && !self.progress.is_written() {
+            return Poll::Ready(Some(Err(BodyError::Early)));
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        !self.is_unframed && self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -94,7 +169,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    budget: Budget,
+    progress: Progress,
     // Hash of the last answer that was checked for being a copy.
     last_answer: Option<u64>,
 }
@@ -310,7 +385,7 @@
         let stream = net::connect(address, CONNECT_MS)
             .await
             .map_err(|error| not_sent(&error))?;
-        let (stream, budget) = head_limit::Stream::new(self.sockets.insert(stream));
+        let (stream, progress) = head_limit::Stream::new(self.sockets.insert(stream));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -324,7 +399,7 @@
         Ok(Connection {
             sender,
             task: task.abort_handle(),
-            budget,
+            progress,
             last_answer: None,
         })
     }
@@ -393,14 +468,14 @@
         reuse: Reuse,
         max_open: usize,
         is_held_back: &dyn Fn() -> bool,
-    ) -> Result<(Response<Incoming>, Lease), Error> {
+    ) -> Result<(Response<Body>, Lease), Error> {
         loop {
             let reused = self.take(peer, reuse);
             let is_new = reused.is_none();
             let Connection {
                 mut sender,
                 task,
-                budget,
+                progress,
                 last_answer,
             } = match reused {
                 Some(connection) => connection,
@@ -419,15 +494,16 @@
             if is_held_back() {
                 return Err(Error::HeldBack);
             }
-            budget.start();
+            progress.start();
             match sender.try_send_request(request).await {
                 Ok(response) => {
-                    budget.lift();
+                    progress.lift_limit();
                     lease.keep_ms = keep_ms(&response);
+                    let response = Body::new(response, &progress);
                     lease.connection = abort.disarm().map(|task| Connection {
                         sender,
                         task,
-                        budget,
+                        progress,
                         last_answer,
                     });
                     return Ok((response, lease));
