--- a/src/core/gateway/shutdown.rs
+++ b/src/core/gateway/shutdown.rs
@@ -19,16 +19,16 @@
 
 /// What a request is waiting for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Progress {
+pub enum Wait {
     /// Its stages, or a server that takes it.
-    Waiting {
+    Server {
         /// Expected time until its stages have finished, in milliseconds.
         stages_ms: u64,
         /// Mean time of an answer after that, in milliseconds.
         answer_ms: u64,
     },
     /// The answer of a server that may be working on it.
-    Sent,
+    Answer,
 }
 
 /// When a host that got SIGTERM does what.
@@ -64,10 +64,10 @@
 
     /// Returns when a request without a response is given up. One that still waits is given up once a long answer
     /// would not be complete in time: it is of more use to its caller to go to another host then.
-    pub fn give_up_at(&self, progress: Progress) -> Instant {
-        match progress {
-            Progress::Sent => self.answer_at,
-            Progress::Waiting {
+    pub fn give_up_at(&self, wait: Wait) -> Instant {
+        match wait {
+            Wait::Answer => self.answer_at,
+            Wait::Server {
                 stages_ms,
                 answer_ms,
             } => {
--- a/src/core/gateway/stream.rs
+++ b/src/core/gateway/stream.rs
@@ -63,7 +63,9 @@
             };
             self.unnumbered_bytes = 0;
             self.is_confirmed = match self.last_id {
-                Some(last) if id != last + 1 => return Err(Error::Order { id, last }),
+                Some(last) if last.checked_add(1) != Some(id) => {
+                    return Err(Error::Order { id, last });
+                }
                 Some(_) => true,
                 None => id <= MAX_FIRST_ID,
             };
@@ -150,12 +152,16 @@
 
 /// Returns the length of the first event, with the empty line at its end.
 fn event_length(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).position(|two| two == b"\n\n");
-    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n");
-    match (lf.map(|index| index + 2), crlf.map(|index| index + 4)) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
+    let mut line = 0;
+    while let Some(length) = bytes[line..].iter().position(|&byte| byte == b'\n') {
+        line += length + 1;
+        for end in [b"\n".as_slice(), b"\r\n"] {
+            if bytes[line..].starts_with(end) {
+                return Some(line + end.len());
+            }
+        }
     }
+    None
 }
 
 fn event_id(line: &[u8]) -> Option<u64> {
--- a/src/shell/gateway/forward/leave.rs
+++ b/src/shell/gateway/forward/leave.rs
@@ -13,7 +13,7 @@
 use crate::{
     core::gateway::{
         retry::Outcome,
-        shutdown::Progress, //
+        shutdown::Wait, //
     },
     shell::gateway::log,
 };
@@ -44,13 +44,13 @@
     /// Returns the time until the request is given up, in milliseconds, if the host stops.
     fn left_ms(&self) -> Option<u64> {
         let schedule = self.gateway.schedule()?;
-        let give_up_at = schedule.give_up_at(self.progress());
+        let give_up_at = schedule.give_up_at(self.wait());
         Some(give_up_at.since_ms(self.gateway.now()))
     }
 
-    fn progress(&self) -> Progress {
+    fn wait(&self) -> Wait {
         if self.is_sent.get() {
-            return Progress::Sent;
+            return Wait::Answer;
         }
         let gateway = &self.gateway;
         let awaits_stages = self.inputs.borrow().is_empty();
@@ -61,7 +61,7 @@
             0
         };
         let durations = gateway.answer_durations.borrow();
-        Progress::Waiting {
+        Wait::Server {
             stages_ms,
             answer_ms: durations.mean_ms(&self.route.name, EXPECTED_RUN_MS),
         }
--- a/tests/core/gateway/shutdown.rs
+++ b/tests/core/gateway/shutdown.rs
@@ -2,8 +2,8 @@
 
 use teaselchute::{
     core::gateway::shutdown::{
-        Progress,
-        Schedule, //
+        Schedule,
+        Wait, //
     },
     time::Instant,
 };
@@ -12,8 +12,8 @@
 
 const GRACE_MS: u64 = 8_000;
 
-fn waiting(stages_ms: u64, answer_ms: u64) -> Progress {
-    Progress::Waiting {
+fn waiting(stages_ms: u64, answer_ms: u64) -> Wait {
+    Wait::Server {
         stages_ms,
         answer_ms,
     }
@@ -25,10 +25,10 @@
     let schedule = Schedule::new(SIGTERM, GRACE_MS);
     let kill_at = SIGTERM.after_ms(GRACE_MS);
     assert!(schedule.exit_at() < kill_at);
-    let sent = schedule.give_up_at(Progress::Sent);
+    let sent = schedule.give_up_at(Wait::Answer);
     assert!(sent < schedule.exit_at(), "answers have to be written");
-    for progress in [waiting(0, 0), waiting(400, 0), waiting(0, 150)] {
-        assert!(schedule.give_up_at(progress) <= sent);
+    for wait in [waiting(0, 0), waiting(400, 0), waiting(0, 150)] {
+        assert!(schedule.give_up_at(wait) <= sent);
     }
 }
 
@@ -37,7 +37,7 @@
 fn give_up_sent_late() {
     let schedule = Schedule::new(SIGTERM, GRACE_MS);
     let last_sixth = SIGTERM.after_ms(GRACE_MS * 5 / 6);
-    assert!(schedule.give_up_at(Progress::Sent) >= last_sixth);
+    assert!(schedule.give_up_at(Wait::Answer) >= last_sixth);
 }
 
 /// A request that can't be finished is given up at once, and not when the process ends.
@@ -57,7 +57,7 @@
 fn give_up_short_grace() {
     for grace_ms in [0, 100, 300, 400, 1_000] {
         let schedule = Schedule::new(SIGTERM, grace_ms);
-        let sent = schedule.give_up_at(Progress::Sent);
+        let sent = schedule.give_up_at(Wait::Answer);
         assert!(sent >= SIGTERM && sent <= schedule.exit_at(), "{grace_ms}");
         assert!(schedule.exit_at() <= SIGTERM.after_ms(grace_ms));
     }
--- a/tests/core/gateway/stream.rs
+++ b/tests/core/gateway/stream.rs
@@ -155,6 +155,18 @@
     assert_eq!(framer.resume_id(), Some(13), "the ids confirm each other");
 }
 
+#[test]
+fn push_largest_id() {
+    let mut framer = Framer::default();
+    let last = u64::MAX;
+    let bytes = format!("id: {last}\n\nid: 0\n\n");
+    assert_eq!(
+        framer.push(bytes.as_bytes()),
+        Ok(format!("id: {last}\n\n").into_bytes())
+    );
+    assert_eq!(framer.error(), Some(Error::Order { id: 0, last }));
+}
+
 proptest! {
     /// Whatever arrives together, a stream is resumed after the last event that was returned.
     #[test]
