Count the memory that bodies take while they are read

What callers saw: a server answered with a body without end in chunks of one byte.

Cause: bodies were collected as the list of parts that the HTTP library hands out, and bounded by their content. An answer without a length was added to what the host holds only once it was complete, so that the sum had no bound: 50 answers of 2 MB that don't end took 105 MB, and 160 events that don't end 78 MB.

Change: shell::gateway::memory reads all bodies. It copies parts into one buffer, and counts its capacity before it grows. Unfinished bodies of unknown size have a bound of their own, at which the largest is given up. New metrics: gateway_held_bytes, gateway_bodies_given_up_total.

Why it works: what is held for a byte no longer depends on how the byte came, and nothing is held uncounted but the read buffer of a connection.

--- a/src/core/gateway/stream.rs
+++ b/src/core/gateway/stream.rs
@@ -1,5 +1,7 @@
 //! Framing of event streams, with a check of the order of events.
 
+use super::holding;
+
 /// Maximum size of an event, in bytes. A longer one is an error of the server.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -7,6 +9,9 @@
 /// send bytes that are no events without end.
 const MAX_UNNUMBERED_BYTES: usize = 256 * 1024;
 
+/// Maximum capacity of an empty buffer that is kept for the next event, in bytes.
+const MAX_KEPT_BYTES: usize = 4 * 1024;
+
 /// Why a stream is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -99,6 +104,8 @@
         if let Some(error) = self.error {
             return Err(error);
         }
+        let capacity = self.capacity_for(bytes.len());
+        self.buffer.reserve_exact(capacity - self.buffer.len());
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
         while self.error.is_none()
@@ -115,8 +122,12 @@
         if self.error.is_none() && self.buffer.len() - end > MAX_EVENT_BYTES {
             self.error = Some(Error::TooLong);
         }
-        let rest = self.buffer.split_off(end);
-        let events = std::mem::replace(&mut self.buffer, rest);
+        // What waits for the caller takes as much memory as it has bytes.
+        let events = self.buffer[..end].to_vec();
+        self.buffer.drain(..end);
+        if self.buffer.is_empty() && self.buffer.capacity() > MAX_KEPT_BYTES {
+            self.buffer = Vec::new();
+        }
         match self.error {
             Some(error) if events.is_empty() => Err(error),
             _ => Ok(events),
@@ -128,6 +139,23 @@
         self.error
     }
 
+    /// Returns the number of bytes that the framer takes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Returns the number of bytes that the framer takes while it has some more. Where that is more than now, its
+    /// buffer is copied to a larger one.
+    pub fn capacity_for(&self, bytes: usize) -> usize {
+        let capacity = self.buffer.capacity();
+        let needed = self.buffer.len() + bytes;
+        if needed > capacity {
+            holding::next_capacity(capacity, needed, usize::MAX)
+        } else {
+            capacity
+        }
+    }
+
     /// Returns the id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
         self.position.last_id
--- a/src/shell/gateway/forward/body.rs
+++ b/src/shell/gateway/forward/body.rs
@@ -2,16 +2,16 @@
 
 use std::rc::Rc;
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::reply::Refusal;
-use crate::shell::gateway::Gateway;
+use crate::{
+    core::gateway::holding,
+    shell::gateway::Gateway, //
+};
 
 /// Share of the process's memory that buffered request bodies may take together, in percent.
 /// Connections, responses and the gateway's tables share the rest.
@@ -42,6 +42,13 @@
         let memory = self.gateway.options.borrow().process.memory_mb * BYTES_PER_MB;
         total.get() as u64 <= memory * MEMORY_PERCENT / 100
     }
+
+    /// Releases bytes that are no longer held.
+    fn release(&mut self, bytes: usize) {
+        let total = &self.gateway.buffered_bytes;
+        self.bytes -= bytes;
+        total.set(total.get().saturating_sub(bytes));
+    }
 }
 
 impl Drop for Reservation {
@@ -61,7 +68,7 @@
     max_bytes: usize,
 ) -> Result<(Bytes, Reservation), Refusal> {
     let mut reservation = Reservation::new(gateway);
-    let mut bytes = BytesMut::new();
+    let mut bytes = Vec::new();
     let mut read_bytes = 0;
     let mut has_memory = true;
     while let Some(frame) = body.frame().await {
@@ -75,15 +82,24 @@
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(Refusal::new(status, "body too large"));
         }
-        has_memory = has_memory && reservation.reserve(data.len());
+        if has_memory && read_bytes > bytes.capacity() {
+            let capacity = holding::next_capacity(bytes.capacity(), read_bytes, max_bytes);
+            // Both buffers are held while the content is copied.
+            has_memory = reservation.reserve(capacity);
+            if has_memory {
+                let mut larger = Vec::with_capacity(capacity);
+                larger.extend_from_slice(&bytes);
+                reservation.release(std::mem::replace(&mut bytes, larger).capacity());
+            }
+        }
         if has_memory {
             bytes.extend_from_slice(&data);
         } else {
-            bytes = BytesMut::new();
+            bytes = Vec::new();
         }
     }
     if !has_memory {
         return Err(Refusal::not_run("no memory for the body"));
     }
-    Ok((bytes.freeze(), reservation))
+    Ok((bytes.into(), reservation))
 }
--- a/src/shell/gateway/forward/mod.rs
+++ b/src/shell/gateway/forward/mod.rs
@@ -58,7 +58,6 @@
     time::Instant,
 };
 
-pub(super) use held::Memory;
 use held::Whole;
 pub(super) use reply::{
     Body,
--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -5,10 +5,6 @@
     Response,
     header, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::body::Body as _;
 
 use super::{
@@ -29,6 +25,7 @@
 use crate::{
     core::gateway::{
         config::Kind,
+        holding::Purpose,
         placement::load::Load,
         retry::Outcome,
         servers::Entry,
@@ -37,7 +34,7 @@
     shell::gateway::{
         departures, limits,
         log::Progress,
-        pauses, quarantines,
+        memory, pauses, quarantines,
         rollouts::Observation,
         upstream::{
             self,
@@ -50,6 +47,9 @@
 /// Maximum size of a response that isn't a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of a server's refusal, in bytes. Its body isn't used, and a longer one isn't read to its end.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
 /// Response of a server whose body is unread.
 pub(super) struct Received {
     pub(super) response: Response<upstream::Body>,
@@ -119,9 +119,9 @@
                 self.may_have_run.set(may_have_run_before);
             }
             Observation::discard(observation);
-            let body = Limited::new(received.response.into_body(), MAX_ANSWER_BYTES);
+            let has_ended = memory::skip(received.response.into_body(), MAX_REFUSAL_BYTES).await;
             // Otherwise the server may be at work on the request, and the end of the connection tells it to stop.
-            if body.collect().await.is_ok() && is_named && is_conclusive {
+            if has_ended && is_named && is_conclusive {
                 received.lease.finish();
             }
             slot.release(status.as_u16() == 421);
@@ -171,23 +171,24 @@
         }
     }
 
-    /// Reads a whole response, once the host may hold as much for its callers.
-    async fn read_whole(
-        &self,
-        body: upstream::Body,
-    ) -> Result<Whole, Box<dyn std::error::Error + Send + Sync>> {
-        let share = self.gateway.held.open();
+    /// Reads a whole response, as far as the host may hold it for its callers.
+    async fn read_whole(&self, body: upstream::Body) -> Result<Whole, memory::Error> {
+        let held = &self.gateway.held;
         let length = body.size_hint().exact();
-        let length = length.and_then(|length| usize::try_from(length).ok());
-        if let Some(length) = length {
-            share.add_whole(length.min(MAX_ANSWER_BYTES)).await;
-        }
-        let bytes = Limited::new(body, MAX_ANSWER_BYTES).collect().await?;
-        let bytes = bytes.to_bytes();
-        if length.is_none() {
-            share.add(bytes.len());
-        }
-        Ok(Whole::new(bytes, share))
+        let bytes = match length.map(usize::try_from) {
+            Some(Ok(length)) if length <= MAX_ANSWER_BYTES => {
+                held.collect_exact(body, length).await?
+            }
+            Some(_) => {
+                let limit = MAX_ANSWER_BYTES;
+                return Err(memory::Error::TooLong { limit });
+            }
+            None => {
+                held.collect(Purpose::Request, body, MAX_ANSWER_BYTES)
+                    .await?
+            }
+        };
+        Ok(Whole::new(bytes))
     }
 
     /// Returns the last event that the caller has of a stream which it resumes itself.
@@ -214,6 +215,7 @@
             begun_at: self.gateway.now(),
             observation: received.observation,
             framer: Framer::resume_after(resume.or_else(|| self.callers_last_event())),
+            held: self.gateway.held.open_unfinished(Purpose::Request),
         };
         match source.next().await {
             Chunk::Events(first) => {
@@ -248,7 +250,7 @@
             }
             Chunk::End => {
                 source.finish_observation(false);
-                let whole = Whole::new(Bytes::new(), self.gateway.held.open());
+                let whole = Whole::new(Bytes::new());
                 Ok(Answer::Whole(Response::from_parts(head, whole)))
             }
             Chunk::Lost(reason) => {
--- a/src/shell/gateway/forward/reply.rs
+++ b/src/shell/gateway/forward/reply.rs
@@ -33,12 +33,15 @@
 use hyper::body::Frame;
 use tokio::sync::mpsc;
 
-use super::held::Share;
-use crate::shell::gateway::{
-    Gateway,
-    log::Event, //
+use crate::{
+    core::gateway::holding::part_bytes,
+    shell::gateway::{
+        Gateway,
+        log::Event,
+        memory::Share, //
+    },
+    time::Instant,
 };
-use crate::time::Instant;
 
 /// Default retry delay of a refusal, in seconds.
 pub(super) const DEFAULT_RETRY_AFTER_S: f64 = 0.5;
@@ -69,7 +72,7 @@
 pub(super) fn channel_body(first: Bytes, share: Share) -> (Sender, Body) {
     let (chunks, receiver) = mpsc::unbounded_channel();
     let share = Arc::new(share);
-    share.add(first.len());
+    share.add(part_bytes(first.len()));
     // The receiver exists, so this can't fail.
     let _ = chunks.send(first);
     let is_complete = Arc::new(AtomicBool::new(false));
@@ -103,7 +106,7 @@
     ///
     /// [`Truncated`] if the caller left.
     pub(super) async fn send(&self, chunk: Bytes) -> Result<(), Truncated> {
-        self.share.add_part(chunk.len()).await;
+        self.share.add_part(part_bytes(chunk.len())).await;
         self.chunks.send(chunk).map_err(|_| Truncated)
     }
 
@@ -151,7 +154,7 @@
             End::Ended => return Poll::Ready(None),
         }
         if let Some(chunk) = ready!(self.chunks.poll_recv(cx)) {
-            self.share.release(chunk.len());
+            self.share.release(part_bytes(chunk.len()));
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         if self.is_complete.load(Ordering::Acquire) {
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -22,6 +22,10 @@
             Event,
             Progress, //
         },
+        memory::{
+            self,
+            Growing, //
+        },
         quarantines,
         rollouts::Observation,
         upstream::{
@@ -62,6 +66,8 @@
     /// What its version is judged by.
     pub(super) observation: Option<Observation>,
     pub(super) framer: Framer,
+    /// Counts what the framer holds.
+    pub(super) held: Growing,
 }
 
 /// Time after the first event for which a stream may be what crashes its server, in milliseconds. A server
@@ -87,7 +93,12 @@
             if let Some(error) = self.framer.error() {
                 return Chunk::Lost(error.to_string());
             }
-            let frame = match self.body.frame().await {
+            let frame = tokio::select! {
+                biased;
+                () = self.held.given_up() => return Chunk::Lost(memory::Error::Crowded.to_string()),
+                frame = self.body.frame() => frame,
+            };
+            let frame = match frame {
                 None if self.framer.is_at_boundary() => {
                     if let Some(lease) = self.lease.take() {
                         lease.finish();
@@ -101,7 +112,17 @@
             let Ok(bytes) = frame.into_data() else {
                 continue;
             };
-            match self.framer.push(&bytes) {
+            let before = self.framer.held_bytes();
+            let grown = self.framer.capacity_for(bytes.len());
+            // Both buffers are held while the content is copied.
+            let copied = if grown > before { grown } else { 0 };
+            if let Err(error) = self.held.add(copied).await {
+                return Chunk::Lost(error.to_string());
+            }
+            let pushed = self.framer.push(&bytes);
+            self.held
+                .release(before + copied - self.framer.held_bytes());
+            match pushed {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Chunk::Events(events.into()),
                 Err(error) => return Chunk::Lost(error.to_string()),
--- a/src/shell/gateway/metrics.rs
+++ b/src/shell/gateway/metrics.rs
@@ -4,6 +4,7 @@
     KeyValue,
     metrics::{
         Counter,
+        Gauge,
         Histogram, //
     }, //
 };
@@ -49,6 +50,10 @@
     pub rollout_phases: Counter<u64>,
     /// Calls to the store by topic and outcome.
     pub store_calls: Counter<u64>,
+    /// Bytes held of responses and other bodies, as of the last tick.
+    pub held_bytes: Gauge<u64>,
+    /// Unfinished bodies that were given up since they took too much memory.
+    pub given_up: Counter<u64>,
 }
 
 impl Metrics {
@@ -77,6 +82,8 @@
             rollout_answers: counter("gateway_rollout_answers"),
             rollout_phases: counter("gateway_rollout_phases"),
             store_calls: counter("gateway_store_calls"),
+            held_bytes: meter.u64_gauge("gateway_held_bytes").build(),
+            given_up: counter("gateway_bodies_given_up"),
             exporter,
         })
     }
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -66,6 +66,7 @@
 mod head_limit;
 mod limits;
 mod log;
+mod memory;
 mod metrics;
 mod net;
 mod overview;
@@ -127,8 +128,8 @@
     pauses: RefCell<pause::Table>,
     // Counts calls with pieces for the rates that servers name.
     stage_limiter: RefCell<Limiter>,
-    /// Bytes of responses that are held for callers.
-    held: Arc<forward::Memory>,
+    /// Bytes of responses and of other bodies that are held.
+    held: Arc<memory::Memory>,
     sockets: Rc<net::Sockets>,
     pool: Rc<upstream::Pool>,
     store: store::State,
@@ -270,7 +271,7 @@
     let logger = logging::open(std::io::stdout(), LogLevel::Info);
     let dispatcher = Dispatcher::new(clock.now(), draw_incarnation());
     let sockets: Rc<net::Sockets> = Rc::default();
-    let held = forward::Memory::new(options.process.memory_mb);
+    let held = memory::Memory::new(options.process.memory_mb);
     Ok(Rc::new(Gateway {
         options: RefCell::new(options),
         adapter,
@@ -294,8 +295,8 @@
         limits: RefCell::default(),
         pauses: RefCell::default(),
         stage_limiter: RefCell::new(Limiter::new(rates::WINDOW_MS)),
+        pool: upstream::Pool::new(clock, sockets.clone(), held.clone()),
         held,
-        pool: upstream::Pool::new(clock, sockets.clone()),
         sockets,
         store: store::State::default(),
         rollouts: rollouts::State::default(),
@@ -332,6 +333,12 @@
         for name in &gateway.servers.borrow_mut().expire_drains(now) {
             gateway.log.write(&Event::DataCentre { name, out: false });
         }
+        let held = u64::try_from(gateway.held.bytes()).unwrap_or(u64::MAX);
+        gateway.metrics.held_bytes.record(held, &[]);
+        let given_up = gateway.held.take_given_up();
+        if given_up > 0 {
+            gateway.metrics.given_up.add(given_up, &[]);
+        }
         gateway.pool.close_expired();
         quarantines::expire(&gateway);
         gateway.limits.borrow_mut().expire(clock::unix_ms());
--- a/src/shell/gateway/peers/server.rs
+++ b/src/shell/gateway/peers/server.rs
@@ -11,10 +11,6 @@
     Response,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::body::Incoming;
 
 use super::{
@@ -26,13 +22,16 @@
         Reply, //
     },
 };
-use crate::shell::gateway::{
-    Gateway,
-    forward::Body,
-    front::with_status,
-    log::Event,
-    stages,
-    store, //
+use crate::{
+    core::gateway::holding::Purpose,
+    shell::gateway::{
+        Gateway,
+        forward::Body,
+        front::with_status,
+        log::Event,
+        stages,
+        store, //
+    },
 };
 
 /// Handles a call of another host.
@@ -45,11 +44,12 @@
         return with_status(StatusCode::NOT_FOUND, "");
     };
     let mac = super::read_mac(request.headers());
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
+    // Whoever sent it isn't known before its MAC is checked.
+    let body = request.into_body();
+    let body = gateway.held.collect(Purpose::Request, body, MAX_BODY_BYTES);
     let Ok(body) = body.await else {
         return with_status(StatusCode::BAD_REQUEST, "body broke off");
     };
-    let body = body.to_bytes();
     if path == Path::Snapshot {
         return bootstrap::serve_snapshot(gateway, from);
     }
--- a/src/shell/gateway/stages/batcher.rs
+++ b/src/shell/gateway/stages/batcher.rs
@@ -14,11 +14,7 @@
     Request,
     Response, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use opentelemetry::KeyValue;
 use tokio::sync::oneshot;
 
@@ -49,6 +45,7 @@
             Role,
             Stages, //
         },
+        holding::Purpose,
         pause::Wait,
         servers::{
             Entry,
@@ -537,9 +534,12 @@
     if status != 421 {
         limits::observe(gateway, entry, sent_unix_ms, response.headers());
     }
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+    let body = response.into_body();
+    let body = gateway
+        .held
+        .collect(Purpose::Request, body, MAX_ANSWER_BYTES);
     let body = match body.await {
-        Ok(body) => body.to_bytes(),
+        Ok(body) => body,
         Err(error) => return Completion::Failed(format!("answer broke off: {error}")),
     };
     let completion = match status {
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use http::HeaderMap;
 use opentelemetry::KeyValue;
 use tokio::sync::Notify;
@@ -100,6 +101,9 @@
 /// Maximum size of the store's response, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum size of the newest records of a topic, in bytes. They are held together until all of them are read.
+const MAX_TOPIC_BYTES: usize = 16 * 1024 * 1024;
+
 /// Maximum number of hosts that are asked to relay a call which the store did not answer.
 const MAX_RELAYS: usize = 2;
 
@@ -269,6 +273,8 @@
     Restored { timeline: u64, known: u64 },
     #[error("late answer of timeline {timeline}, known is {known}")]
     Outdated { timeline: u64, known: u64 },
+    #[error("the newest records take more than {0} bytes")]
+    TooLarge(usize),
     #[error("the store does not answer the host that reads it")]
     Reader,
     #[error("the store does not answer the hosts that write to it")]
@@ -522,9 +528,16 @@
     }
 }
 
+/// Returns the number of bytes that a record takes.
+fn record_bytes(record: &Record) -> usize {
+    let value = record.value.as_ref().map_or(0, Bytes::len);
+    size_of::<Record>() + record.key.len() + value
+}
+
 /// Reads the newest value of each key of a topic, and the position after them.
 async fn newest(gateway: &Gateway, topic: Topic) -> Result<(Vec<Record>, Position), Error> {
     let mut records = Vec::new();
+    let mut bytes = 0;
     let mut after: Option<Name> = None;
     let mut from: Option<Position> = None;
     loop {
@@ -548,6 +561,10 @@
         };
         from = from.or(Some(start));
         after = page.records.last().map(|record| record.key.clone());
+        bytes += page.records.iter().map(record_bytes).sum::<usize>();
+        if bytes > MAX_TOPIC_BYTES {
+            return Err(Error::TooLarge(MAX_TOPIC_BYTES));
+        }
         records.extend(page.records);
         if !page.has_more || after.is_none() {
             break;
--- a/src/shell/gateway/upstream.rs
+++ b/src/shell/gateway/upstream.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{
         Context,
         Poll,
@@ -22,11 +23,7 @@
         TRANSFER_ENCODING, //
     },
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     body::{
         Frame,
@@ -47,10 +44,14 @@
         self,
         Progress, //
     },
+    memory::Memory,
     net, //
 };
 use crate::{
-    core::gateway::balance::hash_bytes,
+    core::gateway::{
+        balance::hash_bytes,
+        holding::Purpose, //
+    },
     edges::gateway::Call,
     names::Name,
     time::Instant, //
@@ -229,6 +230,7 @@
 pub struct Pool {
     clock: Clock,
     sockets: Rc<net::Sockets>,
+    memory: Arc<Memory>,
     open: RefCell<HashMap<Name, usize>>,
     idle: RefCell<HashMap<Name, Vec<IdleConnection>>>,
 }
@@ -290,10 +292,11 @@
 
 impl Pool {
     /// Creates an empty pool.
-    pub fn new(clock: Clock, sockets: Rc<net::Sockets>) -> Rc<Self> {
+    pub fn new(clock: Clock, sockets: Rc<net::Sockets>, memory: Arc<Memory>) -> Rc<Self> {
         Rc::new(Self {
             clock,
             sockets,
+            memory,
             open: RefCell::default(),
             idle: RefCell::default(),
         })
@@ -445,10 +448,10 @@
             )
             .await?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
+        let body = self.memory.collect(Purpose::Control, body, max_bytes).await;
         let body = body.map_err(|error| Error::Lost(format!("answer broke off: {error}")))?;
         lease.finish();
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(Response::from_parts(head, body))
     }
 
     /// Sends a request and returns its response with the body unread. Idle connections to the peer
