Pass on only events of a stream, and comments that belong to it

Cause: the framer checked the order of ids, and took up to 256 KiB between two ids for a part of the stream. So a block without an id went to the caller before anything showed that it belongs there, and the stream was resumed behind it. A first event with any id was passed on in the same way.

Comments, and a first event whose id nothing confirms, are held until the next event or the sound end of the stream, and dropped with a stream that breaks off.

Why it works: what the framer returns always ends with an event whose id follows from the one before it, or with the end of the body.

--- a/src/shell/gateway/forward/receive.rs
+++ b/src/shell/gateway/forward/receive.rs
@@ -1,6 +1,5 @@
 //! Receives responses of servers and checks them before anything is forwarded.
 
-use bytes::Bytes;
 use http::{
     Response,
     header, //
@@ -238,7 +237,7 @@
                 })))
             }
             // A server that crashes may end its connection like one that has sent all.
-            Chunk::End if is_unframed && resume.is_none() => {
+            Chunk::End(_) if is_unframed && resume.is_none() => {
                 source.finish_observation(true);
                 source.slot.release(true);
                 Err(Error {
@@ -248,9 +247,9 @@
                     progress: Progress::Head,
                 })
             }
-            Chunk::End => {
+            Chunk::End(rest) => {
                 source.finish_observation(false);
-                let whole = Whole::new(Bytes::new());
+                let whole = Whole::new(rest);
                 Ok(Answer::Whole(Response::from_parts(head, whole)))
             }
             Chunk::Lost(reason) => {
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -77,7 +77,8 @@
 /// The next item of a source.
 pub(super) enum Chunk {
     Events(Bytes),
-    End,
+    /// The end, with the bytes before it that are no events.
+    End(Bytes),
     Lost(String),
 }
 
@@ -99,13 +100,15 @@
                 frame = self.body.frame() => frame,
             };
             let frame = match frame {
-                None if self.framer.is_at_boundary() => {
+                None => {
+                    let Some(rest) = self.framer.finish() else {
+                        return Chunk::Lost("ended within an event".to_string());
+                    };
                     if let Some(lease) = self.lease.take() {
                         lease.finish();
                     }
-                    return Chunk::End;
+                    return Chunk::End(rest.into());
                 }
-                None => return Chunk::Lost("ended within an event".to_string()),
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => return Chunk::Lost(error.to_string()),
             };
@@ -174,10 +177,13 @@
     loop {
         let events = match source.next().await {
             Chunk::Events(events) => events,
-            Chunk::End => {
+            Chunk::End(rest) => {
                 source.finish_observation(false);
                 let sent_unix_ms = source.sent_unix_ms;
                 quarantines::observe_answer(&exchange.gateway, sent_unix_ms, &exchange.content);
+                if !rest.is_empty() && sender.send(rest).await.is_err() {
+                    return End::CallerLeft;
+                }
                 return End::Complete;
             }
             Chunk::Lost(reason) => match resume(exchange, source, &reason).await {
