Don't count a buffer twice while it is copied

The gateway has one thread and copies without a pause, so that at most one buffer in the process is held twice. Count what the larger one adds.

--- a/src/shell/gateway/forward/body.rs
+++ b/src/shell/gateway/forward/body.rs
@@ -42,13 +42,6 @@
         let memory = self.gateway.options.borrow().process.memory_mb * BYTES_PER_MB;
         total.get() as u64 <= memory * MEMORY_PERCENT / 100
     }
-
-    /// Releases bytes that are no longer held.
-    fn release(&mut self, bytes: usize) {
-        let total = &self.gateway.buffered_bytes;
-        self.bytes -= bytes;
-        total.set(total.get().saturating_sub(bytes));
-    }
 }
 
 impl Drop for Reservation {
@@ -84,12 +77,9 @@
         }
         if has_memory && read_bytes > bytes.capacity() {
             let capacity = holding::next_capacity(bytes.capacity(), read_bytes, max_bytes);
-            // Both buffers are held while the content is copied.
-            has_memory = reservation.reserve(capacity);
+            has_memory = reservation.reserve(capacity - bytes.capacity());
             if has_memory {
-                let mut larger = Vec::with_capacity(capacity);
-                larger.extend_from_slice(&bytes);
-                reservation.release(std::mem::replace(&mut bytes, larger).capacity());
+                bytes.reserve_exact(capacity - bytes.len());
             }
         }
         if has_memory {
--- a/src/shell/gateway/forward/stream.rs
+++ b/src/shell/gateway/forward/stream.rs
@@ -117,14 +117,11 @@
             };
             let before = self.framer.held_bytes();
             let grown = self.framer.capacity_for(bytes.len());
-            // Both buffers are held while the content is copied.
-            let copied = if grown > before { grown } else { 0 };
-            if let Err(error) = self.held.add(copied).await {
+            if let Err(error) = self.held.add(grown - before).await {
                 return Chunk::Lost(error.to_string());
             }
             let pushed = self.framer.push(&bytes);
-            self.held
-                .release(before + copied - self.framer.held_bytes());
+            self.held.release(grown - self.framer.held_bytes());
             match pushed {
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => return Chunk::Events(events.into()),
--- a/src/shell/gateway/memory.rs
+++ b/src/shell/gateway/memory.rs
@@ -165,11 +165,9 @@
             }
             if needed > buffer.capacity() {
                 let capacity = holding::next_capacity(buffer.capacity(), needed, max_bytes);
-                // Both buffers are held while the content is copied.
-                growing.add(capacity).await?;
-                let mut larger = Vec::with_capacity(capacity);
-                larger.extend_from_slice(&buffer);
-                growing.release(std::mem::replace(&mut buffer, larger).capacity());
+                growing.add(capacity - buffer.capacity()).await?;
+                // The gateway has one thread, so that only one buffer at a time is held twice while it is copied.
+                buffer.reserve_exact(capacity - buffer.len());
             }
             buffer.extend_from_slice(&data);
         }
