Take a host for alive by its own fresh word only

Cause: the last heartbeat of the host was written after the last read before the outage, read by the first one after it, and its age counted from that read.

Change: in a gap of the reading hosts ask those whose last word is old, by datagrams with a number. A heartbeat that is read behind the gap counts from its beginning, hearsay and the end of an outage leave a host in doubt, and a host that doesn't answer for 1.5 s isn't live. Shared limits still count it.

Why it works: whatever makes a belief young has the host's own numbers in it, and was made after this host last read or asked. How long calls hang no longer matters.

--- /dev/null
+++ b/src/core/gateway/hosts/liveness.rs
@@ -0,0 +1,231 @@
+//! Whether a host is alive, as far as its own word tells.
+//!
+//! A host is young only by its own fresh word: a heartbeat that is read without a gap in the reading, or an answer to a
+//! question. A heartbeat that is read behind a gap may be as old as the gap, and one that a lost call left behind may
+//! be executed at any time. Such heartbeats, and what was known before the gap, leave the host in doubt until it has
+//! answered.
+
+use super::HEARTBEAT_TIMEOUT_MS;
+use crate::time::Instant;
+
+/// Interval of questions to a host in doubt, in milliseconds.
+const QUESTION_INTERVAL_MS: u64 = 500;
+
+/// The same for a host that has not answered for some time.
+const SLOW_QUESTION_INTERVAL_MS: u64 = 3_000;
+
+/// Time without an answer after which the questions become slow, in milliseconds.
+const SLOW_AFTER_MS: u64 = 3_000;
+
+/// Age of an answer's question beyond which the answer isn't fresh, in milliseconds. The way to another region and
+/// back takes a fraction of it, also while the processors of both hosts are busy.
+const MAX_ANSWER_AGE_MS: u64 = 1_000;
+
+/// Time in which a host that was live has to answer the first question, in milliseconds: three questions, of which two
+/// may be lost.
+const ANSWER_TIME_MS: u64 = 1_500;
+
+/// Time between two heartbeats that show that a host is alive although it doesn't answer, in milliseconds: two
+/// intervals. Heartbeats that lost calls left behind are executed together.
+const HEARTBEATS_APART_MS: u64 = 2 * super::HEARTBEAT_INTERVAL_MS;
+
+/// How a heartbeat was received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Received {
+    /// By a read that followed the one before it without a gap.
+    Fresh,
+    /// By the first read after a gap, which began with the read at this time.
+    AfterGap(Instant),
+}
+
+/// What is known of whether a host is alive.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Liveness {
+    // When it was alive, by its own word.
+    alive_at: Option<Instant>,
+    doubt: Option<Doubt>,
+}
+
+/// A doubt whether a host is alive.
+#[derive(Clone, Debug)]
+struct Doubt {
+    raised_at: Instant,
+    // Whether it counts as live until it has had the time to answer.
+    is_presumed: bool,
+    asked_since: Option<Instant>,
+    // The last two questions.
+    questions: [Option<(u64, Instant)>; 2],
+    // When the first heartbeat since was received.
+    heard_at: Option<Instant>,
+}
+
+impl Doubt {
+    fn new(now: Instant, is_presumed: bool) -> Self {
+        Self {
+            raised_at: now,
+            is_presumed,
+            asked_since: None,
+            questions: [None; 2],
+            heard_at: None,
+        }
+    }
+}
+
+/// The reading of the store, as far as it bears on the age of what is known.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Reading {
+    pub(super) now: Instant,
+    /// The time up to which the lack of a heartbeat tells anything.
+    pub(super) known_until: Instant,
+    /// When the store last recovered from an outage.
+    pub(super) recovered_at: Instant,
+}
+
+impl Reading {
+    /// Returns whether the store is read without a gap.
+    pub(super) fn is_current(&self) -> bool {
+        self.known_until >= self.now
+    }
+}
+
+impl Liveness {
+    /// The liveness of a host of which this is the first fresh word.
+    pub(super) fn first(now: Instant, received: Received) -> Self {
+        match received {
+            Received::Fresh => Self {
+                alive_at: Some(now),
+                doubt: None,
+            },
+            Received::AfterGap(since) => Self {
+                alive_at: Some(since),
+                doubt: Some(Doubt::new(now, true)),
+            },
+        }
+    }
+
+    /// The liveness of a host that another one takes for alive.
+    pub(super) fn hearsay(now: Instant) -> Self {
+        Self {
+            alive_at: None,
+            doubt: Some(Doubt::new(now, true)),
+        }
+    }
+
+    /// The liveness of a host that has started anew at an unknown time.
+    pub(super) fn restarted(now: Instant) -> Self {
+        Self {
+            alive_at: None,
+            doubt: Some(Doubt::new(now, false)),
+        }
+    }
+
+    pub(super) fn is_live(&self, reading: Reading) -> bool {
+        let Some(doubt) = &self.doubt else {
+            let at = self.alive_at;
+            return at.is_some_and(|at| reading.known_until.since_ms(at) < HEARTBEAT_TIMEOUT_MS);
+        };
+        let Reading { now, .. } = reading;
+        let is_in_time = match doubt.asked_since {
+            Some(since) => now.since_ms(since) < ANSWER_TIME_MS,
+            // It can't be asked. Its heartbeats tell once they can arrive.
+            None if !reading.is_current() => true,
+            None => {
+                let since = doubt.raised_at.max(reading.recovered_at);
+                now.since_ms(since) < HEARTBEAT_TIMEOUT_MS
+            }
+        };
+        doubt.is_presumed && is_in_time
+    }
+
+    /// Records a heartbeat that is newer than those before it. `can_answer` states whether the host can be asked.
+    pub(super) fn hear(&mut self, reading: Reading, received: Received, can_answer: bool) {
+        let now = reading.now;
+        let is_live = self.is_live(reading);
+        match (received, &mut self.doubt) {
+            (Received::AfterGap(since), None) => {
+                self.alive_at = self.alive_at.max(Some(since));
+                self.doubt = Some(Doubt::new(now, is_live));
+            }
+            (Received::AfterGap(since), Some(_)) => self.alive_at = self.alive_at.max(Some(since)),
+            (Received::Fresh, None) => self.alive_at = Some(now),
+            (Received::Fresh, Some(doubt)) => {
+                let first = *doubt.heard_at.get_or_insert(now);
+                if !can_answer || now.since_ms(first) >= HEARTBEATS_APART_MS {
+                    self.confirm(now);
+                }
+            }
+        }
+    }
+
+    /// Raises a doubt if the host counts as live and its last word is older than `age_ms`.
+    pub(super) fn doubt_if_older(&mut self, reading: Reading, age_ms: u64) {
+        let Reading { now, .. } = reading;
+        let is_young = self.alive_at.is_some_and(|at| now.since_ms(at) < age_ms);
+        if self.doubt.is_none() && !is_young && self.is_live(reading) {
+            self.doubt = Some(Doubt::new(now, true));
+        }
+    }
+
+    /// Returns whether the host is to be asked now.
+    pub(super) fn is_question_due(&self, now: Instant) -> bool {
+        let Some(doubt) = &self.doubt else {
+            return false;
+        };
+        let is_slow = doubt
+            .asked_since
+            .is_some_and(|since| now.since_ms(since) >= SLOW_AFTER_MS);
+        let interval_ms = if is_slow {
+            SLOW_QUESTION_INTERVAL_MS
+        } else {
+            QUESTION_INTERVAL_MS
+        };
+        doubt.questions[0].is_none_or(|(_, at)| now.since_ms(at) >= interval_ms)
+    }
+
+    /// Returns whether the host was asked and has not answered yet.
+    pub(super) fn is_asked(&self) -> bool {
+        self.doubt
+            .as_ref()
+            .is_some_and(|doubt| doubt.asked_since.is_some())
+    }
+
+    /// Records a question to the host.
+    pub(super) fn ask(&mut self, now: Instant, number: u64) {
+        if let Some(doubt) = &mut self.doubt {
+            doubt.asked_since.get_or_insert(now);
+            doubt.questions = [Some((number, now)), doubt.questions[0]];
+        }
+    }
+
+    /// Records an answer of the host. Returns whether it is fresh.
+    pub(super) fn answer(&mut self, now: Instant, number: u64) -> bool {
+        let questions = self.doubt.iter().flat_map(|doubt| doubt.questions);
+        let is_fresh = questions
+            .flatten()
+            .any(|(it, at)| it == number && now.since_ms(at) <= MAX_ANSWER_AGE_MS);
+        if is_fresh {
+            self.confirm(now);
+        }
+        is_fresh
+    }
+
+    /// Records that the host has ended.
+    pub(super) fn end(&mut self, now: Instant) {
+        let doubt = self.doubt.get_or_insert_with(|| Doubt::new(now, false));
+        doubt.is_presumed = false;
+    }
+
+    fn confirm(&mut self, now: Instant) {
+        self.alive_at = Some(now);
+        self.doubt = None;
+    }
+
+    /// Drops a doubt of a host that has not answered for so long that only its next start matters.
+    pub(super) fn expire(&mut self, reading: Reading, age_ms: u64) {
+        let since = self.doubt.as_ref().and_then(|doubt| doubt.asked_since);
+        if reading.is_current() && since.is_some_and(|since| reading.now.since_ms(since) >= age_ms)
+        {
+            *self = Self::default();
+        }
+    }
+}
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -1,9 +1,10 @@
-//! Table of entry hosts and their liveness, from heartbeats in the platform's store.
+//! Table of entry hosts and their liveness, from heartbeats in the platform's store and answers to questions.
 
 use std::{
     cmp::Reverse,
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap, //
     },
     net::{
@@ -17,6 +18,14 @@
     Serialize, //
 };
 
+mod liveness;
+
+use liveness::{
+    Liveness,
+    Reading,
+    Received, //
+};
+
 use super::{
     balance,
     limits,
@@ -41,6 +50,14 @@
 /// may be paused and send its pending requests when it resumes.
 const QUOTA_TIMEOUT_MS: u64 = 12_000;
 
+/// Time between two reads of the heartbeats beyond which there is a gap, in milliseconds: two heartbeats and a long
+/// poll. Heartbeats that are read behind it may be as old, and the lack of one tells nothing.
+const READ_GAP_MS: u64 = 3_000;
+
+/// Age of the last word of a host at which it is asked while there is a gap in the reading, in milliseconds: two
+/// heartbeats.
+const QUESTION_AGE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
+
 /// Minimum capacity of a host that works for others, in percent of the largest host among them. Small
 /// hosts have little processor time beside their own callers.
 const MIN_COORDINATOR_PERCENT: u64 = 50;
@@ -106,18 +123,33 @@
 pub struct Host {
     /// Its last heartbeat.
     pub heartbeat: Heartbeat,
-    /// When this host received that. `None` if it was in the store before this host started.
+    /// When this host received that, or its last answer. `None` if it was in the store before this host started.
     pub received_at: Option<Instant>,
+    liveness: Liveness,
+}
+
+/// A question whether a host is alive.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Last heartbeat of the host.
+    pub heartbeat: Heartbeat,
+    /// Number that its answer repeats.
+    pub number: u64,
 }
 
 /// All known hosts.
 #[derive(Debug, Default)]
 pub struct Table {
     hosts: BTreeMap<Name, Host>,
-    // When the store last recovered. Heartbeats can't arrive in an outage, so ages count from then.
+    // When the store last recovered. Quotas count ages from then.
     store_recovered_at: Instant,
-    // Start of an outage of the store, during which ages don't grow.
+    // Start of an outage of the store.
     outage_since: Option<Instant>,
+    // When the heartbeats were last read.
+    read_at: Option<Instant>,
+    last_question: u64,
+    // Hosts that don't count as live since they didn't answer.
+    unanswered: BTreeSet<Name>,
     // Hosts that don't answer this one, and since when.
     suspects: BTreeMap<Name, Instant>,
     // The host that last had an address for datagrams.
@@ -125,34 +157,170 @@
 }
 
 impl Table {
-    /// Records a heartbeat. `is_old` states that it was in the store before this host started, so
-    /// that its age is unknown. Returns whether the host is new or starts or stops serving.
+    /// Records a heartbeat. `is_old` states that it was read from the newest values in the store, so that its age is
+    /// unknown. Returns whether the host is new or starts or stops serving.
+    ///
+    /// One that is read behind a gap in the reading may be as old as the gap: see [`liveness`].
     pub fn record(&mut self, now: Instant, heartbeat: Heartbeat, is_old: bool) -> bool {
-        let known = self.hosts.get(&heartbeat.host);
-        let is_same = |host: &Host| {
-            host.heartbeat.incarnation == heartbeat.incarnation
-                && host.heartbeat.sequence == heartbeat.sequence
-                && host.heartbeat.key == heartbeat.key
+        let reading = self.reading(now);
+        let received = match self.read_at {
+            Some(at) if now.since_ms(at) > READ_GAP_MS => Received::AfterGap(at),
+            _ => Received::Fresh,
         };
-        if known.is_some_and(is_same) {
+        let Some(host) = self.hosts.get_mut(&heartbeat.host) else {
+            let liveness = if is_old {
+                Liveness::default()
+            } else {
+                Liveness::first(now, received)
+            };
+            self.insert(heartbeat, (!is_old).then_some(now), liveness);
+            return true;
+        };
+        let known = &host.heartbeat;
+        if known.incarnation == heartbeat.incarnation && known.sequence == heartbeat.sequence {
+            // Hearsay comes without the key.
+            host.heartbeat.key = host.heartbeat.key.take().or(heartbeat.key);
             return false;
         }
-        let is_change = known.is_none_or(|host| host.heartbeat.serving != heartbeat.serving);
-        let received_at = if is_old && known.is_none() {
-            None
+        if known.incarnation == heartbeat.incarnation {
+            if !is_old {
+                let can_answer = heartbeat.key.is_some();
+                host.liveness.hear(reading, received, can_answer);
+            }
         } else {
-            Some(now)
-        };
+            host.liveness = if is_old {
+                Liveness::restarted(now)
+            } else {
+                Liveness::first(now, received)
+            };
+        }
+        let is_change = host.heartbeat.serving != heartbeat.serving;
+        host.received_at = Some(now);
+        let (name, address) = (heartbeat.host.clone(), heartbeat.datagram_address);
+        host.heartbeat = heartbeat;
+        self.by_datagram_address.insert(address, name);
+        is_change
+    }
+
+    fn insert(&mut self, heartbeat: Heartbeat, received_at: Option<Instant>, liveness: Liveness) {
+        let name = heartbeat.host.clone();
         self.by_datagram_address
-            .insert(heartbeat.datagram_address, heartbeat.host.clone());
-        self.hosts.insert(
-            heartbeat.host.clone(),
-            Host {
-                heartbeat,
-                received_at,
-            },
+            .insert(heartbeat.datagram_address, name.clone());
+        let host = Host {
+            heartbeat,
+            received_at,
+            liveness,
+        };
+        self.hosts.insert(name, host);
+    }
+
+    /// Records the heartbeat of this host itself, whatever the state of the store.
+    pub fn record_own(&mut self, now: Instant, heartbeat: Heartbeat) {
+        self.insert(
+            heartbeat,
+            Some(now),
+            Liveness::first(now, Received::Fresh), //
         );
-        is_change
+    }
+
+    /// Records a heartbeat that another host passed on since it takes the host for alive. It tells nothing of a host
+    /// that is known.
+    pub fn record_hearsay(&mut self, now: Instant, heartbeat: Heartbeat) {
+        if !self.hosts.contains_key(&heartbeat.host) {
+            self.insert(heartbeat, Some(now), Liveness::hearsay(now));
+        }
+    }
+
+    /// Records that the heartbeats were read. To be called after what was read is recorded.
+    pub fn read(&mut self, now: Instant) {
+        self.read_at = Some(now);
+    }
+
+    fn reading(&self, now: Instant) -> Reading {
+        let known_until = match self.read_at {
+            Some(at) => now.min(at.after_ms(READ_GAP_MS)),
+            None => now,
+        };
+        Reading {
+            now,
+            known_until: self.outage_since.unwrap_or(now).min(known_until),
+            recovered_at: self.store_recovered_at,
+        }
+    }
+
+    /// Returns the hosts to ask now whether they are alive, `own` excluded, and records that.
+    ///
+    /// In a gap of the reading these are all hosts whose last word isn't young: no heartbeat shows that a host has
+    /// ended. Otherwise only those that are in doubt.
+    pub fn questions(&mut self, now: Instant, own: &Name) -> Vec<Question> {
+        let reading = self.reading(now);
+        let mut questions = Vec::new();
+        if let Some(host) = self.hosts.get_mut(own) {
+            host.liveness = Liveness::first(now, Received::Fresh);
+        }
+        for (name, host) in self.hosts.iter_mut().filter(|(name, _)| *name != own) {
+            let liveness = &mut host.liveness;
+            if !reading.is_current() {
+                liveness.doubt_if_older(reading, QUESTION_AGE_MS);
+            }
+            if host.heartbeat.key.is_some() && liveness.is_question_due(now) {
+                self.last_question += 1;
+                liveness.ask(now, self.last_question);
+                questions.push(Question {
+                    heartbeat: host.heartbeat.clone(),
+                    number: self.last_question,
+                });
+            }
+            liveness.expire(reading, QUOTA_TIMEOUT_MS);
+            if liveness.is_live(reading) {
+                self.unanswered.remove(name);
+            }
+        }
+        questions
+    }
+
+    /// Returns the hosts that have ceased to count as live since they didn't answer, each once.
+    pub fn newly_unanswered(&mut self, now: Instant) -> Vec<Name> {
+        let reading = self.reading(now);
+        let silent = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.liveness.is_asked() && !host.liveness.is_live(reading));
+        let silent = silent.map(|(name, _)| name.clone());
+        let newly: Vec<Name> = silent
+            .filter(|name| !self.unanswered.contains(name))
+            .collect();
+        self.unanswered.extend(newly.iter().cloned());
+        newly
+    }
+
+    /// Records the answer of a host to a question, with its incarnation and whether it serves callers. Returns whether
+    /// that changes whether the host counts as live or serving.
+    pub fn answer(
+        &mut self,
+        now: Instant,
+        name: &Name,
+        number: u64,
+        incarnation: u64,
+        serving: bool,
+    ) -> bool {
+        let reading = self.reading(now);
+        let Some(host) = self.hosts.get_mut(name) else {
+            return false;
+        };
+        let was_live = host.liveness.is_live(reading);
+        if host.heartbeat.incarnation != incarnation {
+            // The known one has ended. What has started in its place writes its own heartbeat.
+            host.liveness.end(now);
+            return was_live;
+        }
+        if !host.liveness.answer(now, number) {
+            return false;
+        }
+        host.received_at = Some(now);
+        let is_stop = host.heartbeat.serving && !serving;
+        host.heartbeat.serving &= serving;
+        is_stop || !was_live
     }
 
     /// Records a heartbeat of a copy from which the store has returned. It must not make a host younger or
@@ -171,11 +339,15 @@
 
     /// Records that the store answers again after an outage.
     ///
-    /// A read that fails once delays heartbeats by less than their interval, which the timeout covers. If it
-    /// reset the ages of all hosts, a host whose reads fail now and then would count dead hosts as live.
+    /// Hosts that were live before have to show that they still are. A read that fails once delays heartbeats by less
+    /// than their interval, which the timeout covers.
     pub fn store_recovered(&mut self, now: Instant) {
+        let reading = self.reading(now);
         let since = self.outage_since.take();
         if since.is_some_and(|since| now.since_ms(since) >= HEARTBEAT_INTERVAL_MS) {
+            for host in self.hosts.values_mut() {
+                host.liveness.doubt_if_older(reading, QUESTION_AGE_MS);
+            }
             self.store_recovered_at = now;
         }
     }
@@ -220,6 +392,8 @@
             .max()
     }
 
+    /// Returns the age of the last sign of life of a host for quotas, which doesn't grow in an outage of the store: a
+    /// host that may be alive keeps its part of what all share.
     fn age_ms(&self, now: Instant, host: &Host) -> Option<u64> {
         let received_at = host.received_at?;
         let now = self.outage_since.unwrap_or(now);
@@ -238,20 +412,20 @@
 
     /// Returns the live hosts.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = &Host> {
-        self.hosts.values().filter(move |host| {
-            self.age_ms(now, host)
-                .is_some_and(|age_ms| age_ms < HEARTBEAT_TIMEOUT_MS)
-        })
+        let reading = self.reading(now);
+        self.hosts
+            .values()
+            .filter(move |host| host.liveness.is_live(reading))
     }
 
     /// Returns the hosts that are no longer live and may still run, other than those that announced their
     /// end.
     pub fn silent(&self, now: Instant) -> impl Iterator<Item = &Host> {
+        let reading = self.reading(now);
         self.hosts.values().filter(move |host| {
             let age_ms = self.age_ms(now, host);
-            let is_silent =
-                age_ms.is_some_and(|ms| (HEARTBEAT_TIMEOUT_MS..QUOTA_TIMEOUT_MS).contains(&ms));
-            is_silent && host.heartbeat.serving
+            let may_run = age_ms.is_some_and(|ms| ms < QUOTA_TIMEOUT_MS);
+            may_run && !host.liveness.is_live(reading) && host.heartbeat.serving
         })
     }
 
@@ -315,9 +489,9 @@
 
     /// Returns whether a live host has an address for datagrams.
     pub fn is_live_at(&self, now: Instant, address: SocketAddr) -> bool {
+        let reading = self.reading(now);
         let host = self.at_datagram_address(address);
-        let age_ms = host.and_then(|host| self.age_ms(now, host));
-        age_ms.is_some_and(|age_ms| age_ms < HEARTBEAT_TIMEOUT_MS)
+        host.is_some_and(|host| host.liveness.is_live(reading))
     }
 
     /// Returns the key of the host at an address, of the most recent one if the address was reused.
--- /dev/null
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -0,0 +1,71 @@
+//! Questions to hosts that are in doubt, and their answers.
+
+use std::net::SocketAddr;
+
+use super::{
+    Message,
+    send,
+    send_to, //
+};
+use crate::shell::gateway::{
+    Gateway,
+    log::Event, //
+};
+
+/// Asks the hosts whose last word isn't young whether they are alive, and logs those that don't answer in time.
+pub(in crate::shell::gateway) fn ask(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut hosts = gateway.hosts.borrow_mut();
+    let questions = hosts.questions(now, &gateway.identity.host);
+    let unanswered = hosts.newly_unanswered(now);
+    drop(hosts);
+    for question in questions {
+        let number = question.number;
+        send(gateway, &question.heartbeat, &Message::Question { number });
+    }
+    for name in &unanswered {
+        gateway.overview.take();
+        gateway.log.write(&Event::Dependency {
+            name,
+            up: false,
+            why: "no fresh heartbeat, and no answer to questions",
+        });
+    }
+}
+
+/// Answers a question of another host.
+pub(super) fn answer(gateway: &Gateway, from: SocketAddr, number: u64) {
+    let message = Message::Alive {
+        number,
+        incarnation: gateway.store.incarnation(),
+        serving: gateway.schedule().is_none(),
+    };
+    send_to(gateway, from, &message);
+}
+
+/// Records the answer of a host.
+pub(super) fn record(
+    gateway: &Gateway,
+    from: SocketAddr,
+    number: u64,
+    incarnation: u64,
+    serving: bool,
+) {
+    let now = gateway.now();
+    let mut hosts = gateway.hosts.borrow_mut();
+    let Some(name) = hosts
+        .at_datagram_address(from)
+        .map(|host| host.heartbeat.host.clone())
+    else {
+        return;
+    };
+    let is_change = hosts.answer(now, &name, number, incarnation, serving);
+    drop(hosts);
+    if is_change {
+        gateway.overview.take();
+        gateway.log.write(&Event::Host {
+            name: &name,
+            serving,
+        });
+    }
+}
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -34,6 +34,7 @@
 };
 
 mod assignments;
+mod liveness;
 mod placements;
 
 pub(super) use assignments::{
@@ -41,6 +42,7 @@
     Lease,
     ask, //
 };
+pub(super) use liveness::ask as ask_hosts;
 use placements::Placement;
 pub(super) use placements::record_placement;
 
@@ -55,12 +57,28 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
     Placements(Vec<Placement>),
-    Ask { number: u64, ask: Ask },
-    Reply { number: u64, reply: Reply },
+    Ask {
+        number: u64,
+        ask: Ask,
+    },
+    Reply {
+        number: u64,
+        reply: Reply,
+    },
     Reports(Vec<Report>),
     Quarantine(quarantine::Report),
     Limit(limits::Limit),
     Rollout(rollouts::Report),
+    /// Asks whether a host is alive.
+    Question {
+        number: u64,
+    },
+    /// The answer, with the incarnation of the host and whether it serves callers.
+    Alive {
+        number: u64,
+        incarnation: u64,
+        serving: bool,
+    },
 }
 
 /// State of the exchange of datagrams.
@@ -157,11 +175,19 @@
         let is_host = gateway.hosts.borrow().is_live_at(now, from);
         let key = gateway.key.get();
         let content = key.and_then(|key| key.verify_datagram(&buffer[..length]));
-        let Some(content) = content.filter(|_| is_host) else {
+        let Some(content) = content else {
             continue;
         };
         // A message of another version is ignored, as if it were lost.
         match postcard::from_bytes(content) {
+            Ok(Message::Question { number }) => liveness::answer(&gateway, from, number),
+            Ok(Message::Alive {
+                number,
+                incarnation,
+                serving,
+            }) => liveness::record(&gateway, from, number, incarnation, serving),
+            // The others are of no use after their senders have ended.
+            Ok(_) if !is_host => {}
             Ok(Message::Placements(placements)) => placements::record(&gateway, &placements),
             Ok(Message::Ask { number, ask }) => assignments::answer(&gateway, from, number, &ask),
             Ok(Message::Reply { number, reply }) => {
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -82,7 +82,7 @@
         let others = snapshot.hosts.into_iter();
         for heartbeat in others.filter(|heartbeat| heartbeat.host != gateway.identity.host) {
             merge_observations(gateway, &heartbeat);
-            gateway.hosts.borrow_mut().record(now, heartbeat, false);
+            gateway.hosts.borrow_mut().record_hearsay(now, heartbeat);
         }
     }
 }
@@ -253,9 +253,14 @@
         // A key that is already set is the same one.
         let _ = gateway.key.set(key.clone());
     }
-    if heartbeat.host != gateway.identity.host || origin != Origin::Log {
-        merge_observations(gateway, &heartbeat);
+    if heartbeat.host == gateway.identity.host {
+        // The table has the newest of this host.
+        if origin != Origin::Log {
+            merge_observations(gateway, &heartbeat);
+        }
+        return;
     }
+    merge_observations(gateway, &heartbeat);
     let name = heartbeat.host.clone();
     let serving = heartbeat.serving;
     let now = gateway.now();
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -194,7 +194,7 @@
         gateway
             .hosts
             .borrow_mut()
-            .record(now, heartbeat.clone(), false);
+            .record_own(now, heartbeat.clone());
         // Without a key nothing is written: other hosts can't use such a heartbeat, and it would
         // replace one in the store that may have the key.
         let has_key = heartbeat.key.is_some();
@@ -230,7 +230,7 @@
     gateway
         .hosts
         .borrow_mut()
-        .record(gateway.now(), heartbeat.clone(), false);
+        .record_own(gateway.now(), heartbeat.clone());
     // If the store is unavailable, other hosts detect the missing heartbeats instead.
     let _ = send_directly(gateway, &heartbeat).await;
 }
--- a/src/shell/gateway/store/mod.rs
+++ b/src/shell/gateway/store/mod.rs
@@ -515,6 +515,9 @@
                     why: "answered",
                 });
             }
+            if topic == Topic::Hosts {
+                gateway.hosts.borrow_mut().read(now);
+            }
         }
     }
 }
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -7,6 +7,7 @@
         Table, //
     },
     lookup,
+    mac::Key,
     quarantine::Report, //
 };
 
@@ -300,3 +301,240 @@
     assert_eq!(table.newest_config(at(1)), Some((5, a)));
     assert_eq!(table.newest_config(at(HEARTBEAT_TIMEOUT_MS)), None);
 }
+
+/// Heartbeat of a host that can be asked.
+fn keyed(host: &str, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        key: Some(Key::new([7; 32])),
+        ..heartbeat(host, "r", sequence)
+    }
+}
+
+/// Interval of the ticks of a host, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// A table of host `own` that is asked every tick, beside hosts that answer at once and others that don't.
+struct Ticking {
+    table: Table,
+    now_ms: u64,
+    answering: Vec<&'static str>,
+    // Number of questions so far.
+    asked: usize,
+}
+
+impl Ticking {
+    fn new(hosts: &[&str], answering: &[&'static str]) -> Self {
+        let mut table = Table::default();
+        table.record_own(at(0), keyed("own", 1));
+        for host in hosts {
+            table.record(at(0), keyed(host, 1), false);
+        }
+        table.read(at(0));
+        Self {
+            table,
+            now_ms: 0,
+            answering: answering.to_vec(),
+            asked: 0,
+        }
+    }
+
+    fn tick_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            self.now_ms += TICK_MS;
+            let now = at(self.now_ms);
+            for question in self.table.questions(now, &"own".into()) {
+                self.asked += 1;
+                let host = &question.heartbeat.host;
+                if self.answering.iter().any(|it| **it == **host) {
+                    self.table.answer(now, host, question.number, 1, true);
+                }
+            }
+        }
+    }
+
+    fn live(&self) -> Vec<String> {
+        live(&self.table, self.now_ms)
+    }
+}
+
+/// review/14: the last heartbeat of a host that was removed during an outage was read after it, and counted as new.
+#[test]
+fn live_heartbeat_from_before_outage() {
+    let mut hosts = Ticking::new(&["removed", "other"], &["other"]);
+    hosts.tick_until(5_900);
+    assert_eq!(hosts.live(), ["other", "own"], "nothing could be read");
+    hosts.table.store_failed(at(5_900));
+    hosts.table.record(at(6_000), keyed("removed", 2), false);
+    hosts.table.record(at(6_000), keyed("other", 2), false);
+    hosts.table.store_recovered(at(6_000));
+    hosts.table.read(at(6_000));
+    for end_ms in (6_100..12_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        assert_eq!(hosts.live(), ["other", "own"], "at {end_ms} ms");
+        hosts.table.read(at(end_ms));
+        hosts
+            .table
+            .record(at(end_ms), keyed("other", end_ms), false);
+    }
+}
+
+/// The same where the failure is known at once: the end of an outage made all hosts young.
+#[test]
+fn live_removed_before_recovery() {
+    let mut hosts = Ticking::new(&["removed", "other"], &["other"]);
+    hosts.table.store_failed(at(100));
+    hosts.tick_until(2_500);
+    assert_eq!(hosts.live().len(), 3, "the last word is young");
+    hosts.table.store_recovered(at(2_700));
+    hosts.table.read(at(2_700));
+    hosts.tick_until(4_300);
+    assert_eq!(hosts.live(), ["other", "own"]);
+}
+
+/// Nobody can write heartbeats in an outage, however long it is.
+#[test]
+fn live_hosts_that_answer_in_outage() {
+    let mut hosts = Ticking::new(&["a", "b"], &["a", "b"]);
+    hosts.table.store_failed(at(1_000));
+    for end_ms in (1_000..60_000).step_by(1_000) {
+        hosts.tick_until(end_ms);
+        assert_eq!(hosts.live().len(), 3, "at {end_ms} ms");
+    }
+    hosts.table.store_recovered(at(60_000));
+    hosts.tick_until(64_000);
+    assert_eq!(hosts.live().len(), 3);
+    assert!(
+        hosts.asked < 2 * 60,
+        "{} questions in a minute",
+        hosts.asked
+    );
+}
+
+/// A host that doesn't answer others in an outage still names itself, and the others again when they answer.
+#[test]
+fn addresses_in_outage_without_answers() {
+    let mut hosts = Ticking::new(&["a", "b"], &[]);
+    hosts.table.store_failed(at(1_000));
+    hosts.tick_until(30_000);
+    let named = lookup::addresses(at(30_000), &hosts.table, "r", "r");
+    assert_eq!(named, [keyed("own", 1).caller_address]);
+    hosts.answering = vec!["a", "b"];
+    hosts.tick_until(33_200);
+    let named = lookup::addresses(at(33_200), &hosts.table, "r", "r");
+    assert_eq!(named.len(), 3);
+}
+
+/// Other hosts keep their parts of shared limits while nobody can tell whether they run.
+#[test]
+fn quota_group_unanswered_in_outage() {
+    let mut hosts = Ticking::new(&["a", "b"], &[]);
+    hosts.table.store_failed(at(1_000));
+    hosts.tick_until(30_000);
+    assert_eq!(hosts.live(), ["own"]);
+    assert_eq!(hosts.table.quota_group(at(30_000), &"own".into()).size(), 3);
+    assert_eq!(hosts.table.silent(at(30_000)).count(), 2, "they may run");
+}
+
+/// A host that starts in an outage knows the others from a third one, without their keys. It can't ask them.
+#[test]
+fn live_hearsay_in_outage() {
+    let mut hosts = Ticking::new(&[], &[]);
+    hosts.table.store_failed(at(100));
+    for end_ms in (800..10_000).step_by(800) {
+        hosts
+            .table
+            .record_hearsay(at(end_ms), heartbeat("a", "r", 5));
+        hosts.tick_until(end_ms);
+        assert_eq!(hosts.live(), ["a", "own"]);
+    }
+    // Its key comes from the store, and it has ended meanwhile.
+    hosts.table.record(at(10_000), keyed("a", 5), true);
+    hosts.table.store_recovered(at(10_000));
+    hosts.table.read(at(10_000));
+    hosts.tick_until(12_000);
+    assert_eq!(hosts.live(), ["own"]);
+}
+
+/// What another host passes on tells nothing of a host that is known.
+#[test]
+fn record_hearsay_known_host_not_younger() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    for end_ms in (500..8_000).step_by(500) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        hosts.table.record_hearsay(at(end_ms), keyed("a", end_ms));
+    }
+    assert_eq!(hosts.live(), ["own"]);
+}
+
+/// An answer that was held up on its way, or is of another start, says nothing of this moment.
+#[test]
+fn answer_late_or_of_another_start() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    hosts.tick_until(3_000);
+    let question = hosts.table.questions(at(3_100), &"own".into());
+    let number = question[0].number;
+    let name = "a".into();
+    assert!(
+        !hosts.table.answer(at(5_000), &name, number, 1, true),
+        "late"
+    );
+    assert!(!hosts.table.answer(at(5_000), &name, number + 9, 1, true));
+    assert_eq!(live(&hosts.table, 5_000), ["own"]);
+    let question = hosts.table.questions(at(5_000), &"own".into());
+    let number = question[0].number;
+    hosts.table.answer(at(5_001), &name, number, 2, true);
+    assert_eq!(live(&hosts.table, 5_002), ["own"], "another start");
+    assert!(hosts.table.answer(at(5_003), &name, number, 1, true));
+    assert_eq!(live(&hosts.table, 5_004), ["a", "own"]);
+}
+
+/// A host that stops in an outage can't announce it in the store.
+#[test]
+fn answer_of_stopping_host() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    hosts.tick_until(3_000);
+    let question = hosts.table.questions(at(3_100), &"own".into());
+    let number = question[0].number;
+    assert!(hosts.table.answer(at(3_101), &"a".into(), number, 1, false));
+    let named = lookup::addresses(at(3_102), &hosts.table, "r", "r");
+    assert_eq!(named, [keyed("own", 1).caller_address]);
+}
+
+/// This process was paused: nothing tells yet which hosts have ended meanwhile.
+#[test]
+fn live_after_pause_of_this_process() {
+    let mut hosts = Ticking::new(&["alive", "ended"], &["alive"]);
+    hosts.now_ms = 20_000;
+    assert_eq!(hosts.live().len(), 3, "before the first tick");
+    hosts.tick_until(20_100);
+    assert_eq!(hosts.live().len(), 3);
+    hosts.table.record(at(20_200), keyed("ended", 2), false);
+    hosts.table.record(at(20_200), keyed("alive", 9), false);
+    hosts.table.read(at(20_200));
+    hosts.tick_until(21_700);
+    assert_eq!(hosts.live(), ["alive", "own"]);
+}
+
+/// The load of questions in a large deployment: 295 hosts that all answer, in an outage of a minute.
+#[test]
+fn questions_large_deployment() {
+    let names: Vec<String> = (0..294).map(|index| format!("host-{index}")).collect();
+    let mut table = Table::default();
+    table.record_own(at(0), keyed("own", 1));
+    for name in &names {
+        table.record(at(0), keyed(name, 1), false);
+    }
+    table.read(at(0));
+    table.store_failed(at(500));
+    let mut asked = 0;
+    for now_ms in (500..60_500).step_by(100) {
+        for question in table.questions(at(now_ms), &"own".into()) {
+            asked += 1;
+            let host = &question.heartbeat.host;
+            table.answer(at(now_ms), host, question.number, 1, true);
+        }
+    }
+    assert_eq!(live(&table, 60_500).len(), 295);
+    assert!(asked <= 294 * 60 / 2, "{asked} questions in a minute");
+}
