Ignore heartbeats and entries that arrive late

Cause: a call to the store without an answer may be executed at any later time, and every heartbeat that differed from the last one counted as newer. Evidence: a former heartbeat of a stopped host that is appended again brings it back into lookups within 356 ms on. Entries of servers were taken in the same way.

Change: a heartbeat is news only by the host's own numbers, and brings back a host that no longer counted as live only once it has answered a question, or with a second heartbeat 2.6 s later. An entry of a server is news only if the server wrote it after the known one, also where the server has left.

Why it works: held-up calls hold nothing that the host or server didn't say before what is known, or they come alone while the host doesn't answer.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -147,7 +147,11 @@
                 self.doubt = Some(Doubt::new(now, is_live));
             }
             (Received::AfterGap(since), Some(_)) => self.alive_at = self.alive_at.max(Some(since)),
-            (Received::Fresh, None) => self.alive_at = Some(now),
+            (Received::Fresh, None) if is_live || !can_answer => self.alive_at = Some(now),
+            (Received::Fresh, None) => {
+                let doubt = self.doubt.insert(Doubt::new(now, false));
+                doubt.heard_at = Some(now);
+            }
             (Received::Fresh, Some(doubt)) => {
                 let first = *doubt.heard_at.get_or_insert(now);
                 if !can_answer || now.since_ms(first) >= HEARTBEATS_APART_MS {
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -58,6 +58,9 @@
 /// heartbeats.
 const QUESTION_AGE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
 
+/// Number of former incarnations of a host that are remembered, whose heartbeats may arrive late.
+const MAX_FORMER: usize = 4;
+
 /// Minimum capacity of a host that works for others, in percent of the largest host among them. Small
 /// hosts have little processor time beside their own callers.
 const MIN_COORDINATOR_PERCENT: u64 = 50;
@@ -126,6 +129,8 @@
     /// When this host received that, or its last answer. `None` if it was in the store before this host started.
     pub received_at: Option<Instant>,
     liveness: Liveness,
+    // Incarnations that have ended.
+    former: Vec<u64>,
 }
 
 /// A question whether a host is alive.
@@ -157,16 +162,31 @@
 }
 
 impl Table {
+    /// Returns whether a heartbeat is newer than what is known of its host, by the host's own numbers.
+    pub fn is_news(&self, heartbeat: &Heartbeat) -> bool {
+        let Some(host) = self.hosts.get(&heartbeat.host) else {
+            return true;
+        };
+        if host.heartbeat.incarnation == heartbeat.incarnation {
+            host.heartbeat.sequence < heartbeat.sequence
+        } else {
+            !host.former.contains(&heartbeat.incarnation)
+        }
+    }
+
     /// Records a heartbeat. `is_old` states that it was read from the newest values in the store, so that its age is
     /// unknown. Returns whether the host is new or starts or stops serving.
     ///
-    /// One that is read behind a gap in the reading may be as old as the gap: see [`liveness`].
+    /// A call to the store without an answer may be executed at any later time. So a heartbeat counts only if it is
+    /// newer than the last one by the host's own numbers, and it doesn't bring back a host that no longer counted as
+    /// live: that has to answer a question first.
     pub fn record(&mut self, now: Instant, heartbeat: Heartbeat, is_old: bool) -> bool {
         let reading = self.reading(now);
         let received = match self.read_at {
             Some(at) if now.since_ms(at) > READ_GAP_MS => Received::AfterGap(at),
             _ => Received::Fresh,
         };
+        let is_news = self.is_news(&heartbeat);
         let Some(host) = self.hosts.get_mut(&heartbeat.host) else {
             let liveness = if is_old {
                 Liveness::default()
@@ -177,9 +197,11 @@
             return true;
         };
         let known = &host.heartbeat;
-        if known.incarnation == heartbeat.incarnation && known.sequence == heartbeat.sequence {
+        if !is_news {
             // Hearsay comes without the key.
-            host.heartbeat.key = host.heartbeat.key.take().or(heartbeat.key);
+            if known.incarnation == heartbeat.incarnation && known.sequence == heartbeat.sequence {
+                host.heartbeat.key = host.heartbeat.key.take().or(heartbeat.key);
+            }
             return false;
         }
         if known.incarnation == heartbeat.incarnation {
@@ -188,6 +210,8 @@
                 host.liveness.hear(reading, received, can_answer);
             }
         } else {
+            host.former.insert(0, known.incarnation);
+            host.former.truncate(MAX_FORMER);
             host.liveness = if is_old {
                 Liveness::restarted(now)
             } else {
@@ -210,6 +234,7 @@
             heartbeat,
             received_at,
             liveness,
+            former: Vec::new(),
         };
         self.hosts.insert(name, host);
     }
--- a/src/core/gateway/servers.rs
+++ b/src/core/gateway/servers.rs
@@ -130,6 +130,9 @@
 impl Table {
     /// Applies the newest entry of a server, `None` for one that was deleted or is invalid.
     ///
+    /// A call to the registry without an answer may be executed at any later time. So an entry that the server didn't
+    /// write after the known one, by its own counts, tells nothing, also of a server that has left.
+    ///
     /// `registry_unstable` states that the registry failed a moment ago. Then a missing entry may
     /// have expired there while its server lives.
     pub fn update(
@@ -146,6 +149,12 @@
             }
             return self.remove(now, id).then(|| Change::Left(id.clone()));
         };
+        if self
+            .known_revision(id)
+            .is_some_and(|known| !entry.is_newer_than(known))
+        {
+            return None;
+        }
         self.left.remove(id);
         let cold_until = now.after_ms(entry.cold_ms);
         let old = self.servers.insert(
@@ -171,12 +180,13 @@
     /// The copy is older than what is known. A server that joined since registers again; one that was
     /// leaving or had left must not come back.
     pub fn restore(&mut self, now: Instant, id: &Name, entry: Option<Entry>) -> Option<Change> {
+        self.update(now, id, entry, true)
+    }
+
+    /// Returns the counts of the newest entry of a server that is known or has left.
+    fn known_revision(&self, id: &Name) -> Option<Revision> {
         let known = self.servers.get(id).map(|server| server.entry.revision());
-        let known = known.or_else(|| self.left.get(id).map(|(revision, _)| *revision));
-        match (&entry, known) {
-            (Some(entry), Some(known)) if !entry.is_newer_than(known) => None,
-            _ => self.update(now, id, entry, true),
-        }
+        known.or_else(|| self.left.get(id).map(|(revision, _)| *revision))
     }
 
     /// Records that a server announced in an answer that it leaves. Returns whether that is new.
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -260,7 +260,10 @@
         }
         return;
     }
-    merge_observations(gateway, &heartbeat);
+    // A late one tells nothing that wasn't known.
+    if gateway.hosts.borrow().is_news(&heartbeat) {
+        merge_observations(gateway, &heartbeat);
+    }
     let name = heartbeat.host.clone();
     let serving = heartbeat.serving;
     let now = gateway.now();
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -467,6 +467,78 @@
     assert_eq!(hosts.live(), ["own"]);
 }
 
+/// review/13: heartbeats that lost calls left behind are executed when a cut heals.
+#[test]
+fn record_late_heartbeat() {
+    let mut table = Table::default();
+    let stopping = Heartbeat {
+        serving: false,
+        ..keyed("a", 9)
+    };
+    table.record(at(0), stopping, false);
+    assert!(
+        !table.record(at(1_000), keyed("a", 8), false),
+        "it is older"
+    );
+    assert!(lookup::addresses(at(1_001), &table, "r", "r").is_empty());
+    // A former start of it.
+    let restarted = Heartbeat {
+        incarnation: 2,
+        ..keyed("a", 1)
+    };
+    assert!(table.record(at(2_000), restarted.clone(), false));
+    assert!(!table.record(at(3_000), keyed("a", 10), false));
+    let known = table
+        .live(at(3_001))
+        .next()
+        .map(|it| it.heartbeat.incarnation);
+    assert_eq!(known, Some(2));
+    // An old value doesn't make it younger.
+    assert!(!table.record(at(6_000), restarted, true));
+    assert!(live(&table, 2_000 + HEARTBEAT_TIMEOUT_MS).is_empty());
+}
+
+/// The same where the host has ended without an announcement, so that its late heartbeat is its newest.
+#[test]
+fn record_late_heartbeat_of_dead_host() {
+    let mut hosts = Ticking::new(&["dead"], &[]);
+    for end_ms in (100..20_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        // Two of them, in two reads.
+        if end_ms == 9_000 || end_ms == 10_200 {
+            hosts.table.record(at(end_ms), keyed("dead", end_ms), false);
+        }
+        if end_ms >= HEARTBEAT_TIMEOUT_MS {
+            assert_eq!(hosts.live(), ["own"], "at {end_ms} ms");
+        }
+    }
+}
+
+/// A host that was paused is back as soon as it answers, or with a second heartbeat where answers are lost.
+#[test]
+fn record_heartbeat_of_resumed_host() {
+    let mut hosts = Ticking::new(&["answers", "lossy"], &["answers"]);
+    for end_ms in (100..20_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        if end_ms >= 9_000 && end_ms % 1_300 == 0 {
+            hosts
+                .table
+                .record(at(end_ms), keyed("answers", end_ms), false);
+            hosts
+                .table
+                .record(at(end_ms), keyed("lossy", end_ms), false);
+        }
+        match end_ms {
+            9_000 => assert_eq!(hosts.live(), ["own"]),
+            9_300 => assert_eq!(hosts.live(), ["answers", "own"]),
+            12_000.. => assert_eq!(hosts.live().len(), 3, "at {end_ms} ms"),
+            _ => {}
+        }
+    }
+}
+
 /// An answer that was held up on its way, or is of another start, says nothing of this moment.
 #[test]
 fn answer_late_or_of_another_start() {
--- a/tests/core/gateway/servers.rs
+++ b/tests/core/gateway/servers.rs
@@ -228,3 +228,48 @@
     table.update(at(420_002), &"s".into(), Some(joined), false);
     assert_eq!(usable(&table), ["s"]);
 }
+
+/// A server's write that was held up is executed after the server has said that it leaves, or has left.
+#[test]
+fn update_late_entry() {
+    let mut table = Table::default();
+    let id = "s".into();
+    table.update(at(0), &id, numbered(5, false), false);
+    table.update(at(1), &id, numbered(7, true), false);
+    assert_eq!(table.update(at(2), &id, numbered(6, false), false), None);
+    assert!(usable(&table).is_empty(), "it leaves");
+    table.update(at(3), &id, None, false);
+    assert_eq!(table.update(at(4), &id, numbered(6, false), false), None);
+    assert!(table.is_empty(), "it has left");
+    let joined = table.update(at(5), &id, numbered(8, false), false);
+    assert!(
+        matches!(joined, Some(Change::Joined(_))),
+        "its own next entry"
+    );
+    let restarted = numbered(1, false).map(|entry| Entry {
+        started_at: Some(2),
+        ..entry
+    });
+    let change = table.update(at(6), &id, restarted, false);
+    assert!(matches!(change, Some(Change::Restarted(_))));
+    assert_eq!(table.update(at(7), &id, numbered(9, true), false), None);
+    assert_eq!(usable(&table), ["s"], "its former start left");
+}
+
+/// Servers that don't number their entries are taken at their last word, as before.
+#[test]
+fn update_unnumbered_entry() {
+    let mut table = Table::default();
+    let id = "s".into();
+    let unnumbered = |leaving| {
+        let entry = entry("s", "llm", "a");
+        Some(Entry {
+            sequence: None,
+            leaving,
+            ..entry
+        })
+    };
+    table.update(at(0), &id, unnumbered(true), false);
+    table.update(at(1), &id, unnumbered(false), false);
+    assert_eq!(usable(&table), ["s"]);
+}
