--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -1,27 +1,27 @@
 //! Whether a host is alive, as far as its own word tells.
 //!
 //! A host is young only by its own fresh word: a heartbeat that is read without a gap in the reading, or an answer to a
-//! question. A heartbeat that is read behind a gap may be as old as the gap, and one that a lost call left behind may
+//! probe. A heartbeat that is read behind a gap may be as old as the gap, and one that a lost call left behind may
 //! be executed at any time. Such heartbeats, and what was known before the gap, leave the host in doubt until it has
 //! answered.
 
 use super::HEARTBEAT_TIMEOUT_MS;
 use crate::time::Instant;
 
-/// Interval of questions to a host in doubt, in milliseconds.
-const QUESTION_INTERVAL_MS: u64 = 500;
+/// Interval of probes of a host in doubt, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 500;
 
 /// The same for a host that has not answered for some time.
-const SLOW_QUESTION_INTERVAL_MS: u64 = 3_000;
+const SLOW_PROBE_INTERVAL_MS: u64 = 3_000;
 
-/// Time without an answer after which the questions become slow, in milliseconds.
+/// Time without an answer after which the probes become slow, in milliseconds.
 const SLOW_AFTER_MS: u64 = 3_000;
 
-/// Age of an answer's question beyond which the answer isn't fresh, in milliseconds. The way to another region and
+/// Age of an answer's probe beyond which the answer isn't fresh, in milliseconds. The way to another region and
 /// back takes a fraction of it, also while the processors of both hosts are busy.
 const MAX_ANSWER_AGE_MS: u64 = 1_000;
 
-/// Time in which a host that was live has to answer the first question, in milliseconds: three questions, of which two
+/// Time in which a host that was live has to answer the first probe, in milliseconds: three probes, of which two
 /// may be lost.
 const ANSWER_TIME_MS: u64 = 1_500;
 
@@ -52,9 +52,9 @@
     raised_at: Instant,
     // Whether it counts as live until it has had the time to answer.
     is_presumed: bool,
-    asked_since: Option<Instant>,
-    // The last two questions.
-    questions: [Option<(u64, Instant)>; 2],
+    probed_since: Option<Instant>,
+    // The last two probes.
+    probes: [Option<(u64, Instant)>; 2],
     // When the first heartbeat since was received.
     heard_at: Option<Instant>,
 }
@@ -64,8 +64,8 @@
         Self {
             raised_at: now,
             is_presumed,
-            asked_since: None,
-            questions: [None; 2],
+            probed_since: None,
+            probes: [None; 2],
             heard_at: None,
         }
     }
@@ -104,7 +104,7 @@
     }
 
     /// The liveness of a host that another one takes for alive.
-    pub(super) fn hearsay(now: Instant) -> Self {
+    pub(super) fn relayed(now: Instant) -> Self {
         Self {
             alive_at: None,
             doubt: Some(Doubt::new(now, true)),
@@ -125,9 +125,9 @@
             return at.is_some_and(|at| reading.known_until.since_ms(at) < HEARTBEAT_TIMEOUT_MS);
         };
         let Reading { now, .. } = reading;
-        let is_in_time = match doubt.asked_since {
+        let is_in_time = match doubt.probed_since {
             Some(since) => now.since_ms(since) < ANSWER_TIME_MS,
-            // It can't be asked. Its heartbeats tell once they can arrive.
+            // It can't be probed. Its heartbeats tell once they can arrive.
             None if !reading.is_current() => true,
             None => {
                 let since = doubt.raised_at.max(reading.recovered_at);
@@ -137,8 +137,13 @@
         doubt.is_presumed && is_in_time
     }
 
-    /// Records a heartbeat that is newer than those before it. `can_answer` states whether the host can be asked.
-    pub(super) fn hear(&mut self, reading: Reading, received: Received, can_answer: bool) {
+    /// Records a heartbeat that is newer than those before it. `can_answer` states whether the host can be probed.
+    pub(super) fn record_heartbeat(
+        &mut self,
+        reading: Reading,
+        received: Received,
+        can_answer: bool,
+    ) {
         let now = reading.now;
         let is_live = self.is_live(reading);
         match (received, &mut self.doubt) {
@@ -170,41 +175,41 @@
         }
     }
 
-    /// Returns whether the host is to be asked now.
-    pub(super) fn is_question_due(&self, now: Instant) -> bool {
+    /// Returns whether the host is to be probed now.
+    pub(super) fn is_probe_due(&self, now: Instant) -> bool {
         let Some(doubt) = &self.doubt else {
             return false;
         };
         let is_slow = doubt
-            .asked_since
+            .probed_since
             .is_some_and(|since| now.since_ms(since) >= SLOW_AFTER_MS);
         let interval_ms = if is_slow {
-            SLOW_QUESTION_INTERVAL_MS
+            SLOW_PROBE_INTERVAL_MS
         } else {
-            QUESTION_INTERVAL_MS
+            PROBE_INTERVAL_MS
         };
-        doubt.questions[0].is_none_or(|(_, at)| now.since_ms(at) >= interval_ms)
+        doubt.probes[0].is_none_or(|(_, at)| now.since_ms(at) >= interval_ms)
     }
 
-    /// Returns whether the host was asked and has not answered yet.
-    pub(super) fn is_asked(&self) -> bool {
+    /// Returns whether the host was probed and has not answered yet.
+    pub(super) fn is_probed(&self) -> bool {
         self.doubt
             .as_ref()
-            .is_some_and(|doubt| doubt.asked_since.is_some())
+            .is_some_and(|doubt| doubt.probed_since.is_some())
     }
 
-    /// Records a question to the host.
-    pub(super) fn ask(&mut self, now: Instant, number: u64) {
+    /// Records a probe of the host.
+    pub(super) fn record_probe(&mut self, now: Instant, number: u64) {
         if let Some(doubt) = &mut self.doubt {
-            doubt.asked_since.get_or_insert(now);
-            doubt.questions = [Some((number, now)), doubt.questions[0]];
+            doubt.probed_since.get_or_insert(now);
+            doubt.probes = [Some((number, now)), doubt.probes[0]];
         }
     }
 
     /// Records an answer of the host. Returns whether it is fresh.
-    pub(super) fn answer(&mut self, now: Instant, number: u64) -> bool {
-        let questions = self.doubt.iter().flat_map(|doubt| doubt.questions);
-        let is_fresh = questions
+    pub(super) fn record_ack(&mut self, now: Instant, number: u64) -> bool {
+        let probes = self.doubt.iter().flat_map(|doubt| doubt.probes);
+        let is_fresh = probes
             .flatten()
             .any(|(it, at)| it == number && now.since_ms(at) <= MAX_ANSWER_AGE_MS);
         if is_fresh {
@@ -226,7 +231,7 @@
 
     /// Drops a doubt of a host that has not answered for so long that only its next start matters.
     pub(super) fn expire(&mut self, reading: Reading, age_ms: u64) {
-        let since = self.doubt.as_ref().and_then(|doubt| doubt.asked_since);
+        let since = self.doubt.as_ref().and_then(|doubt| doubt.probed_since);
         if reading.is_current() && since.is_some_and(|since| reading.now.since_ms(since) >= age_ms)
         {
             *self = Self::default();
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -1,4 +1,4 @@
-//! Table of entry hosts and their liveness, from heartbeats in the platform's store and answers to questions.
+//! Table of entry hosts and their liveness, from heartbeats in the platform's store and answers to probes.
 
 use std::{
     cmp::Reverse,
@@ -54,9 +54,9 @@
 /// poll. Heartbeats that are read behind it may be as old, and the lack of one tells nothing.
 const READ_GAP_MS: u64 = 3_000;
 
-/// Age of the last word of a host at which it is asked while there is a gap in the reading, in milliseconds: two
+/// Age of the last word of a host at which it is probed while there is a gap in the reading, in milliseconds: two
 /// heartbeats.
-const QUESTION_AGE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
+const PROBE_AGE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
 
 /// Number of former incarnations of a host that are remembered, whose heartbeats may arrive late.
 const MAX_FORMER: usize = 4;
@@ -133,9 +133,9 @@
     former: Vec<u64>,
 }
 
-/// A question whether a host is alive.
+/// A probe of a host: it answers if it is alive.
 #[derive(Clone, Debug)]
-pub struct Question {
+pub struct Probe {
     /// Last heartbeat of the host.
     pub heartbeat: Heartbeat,
     /// Number that its answer repeats.
@@ -152,7 +152,7 @@
     outage_since: Option<Instant>,
     // When the heartbeats were last read.
     read_at: Option<Instant>,
-    last_question: u64,
+    last_probe: u64,
     // Hosts that don't count as live since they didn't answer.
     unanswered: BTreeSet<Name>,
     // Hosts that don't answer this one, and since when.
@@ -179,7 +179,7 @@
     ///
     /// A call to the store without an answer may be executed at any later time. So a heartbeat counts only if it is
     /// newer than the last one by the host's own numbers, and it doesn't bring back a host that no longer counted as
-    /// live: that has to answer a question first.
+    /// live: that has to answer a probe first.
     pub fn record(&mut self, now: Instant, heartbeat: Heartbeat, is_old: bool) -> bool {
         let reading = self.reading(now);
         let received = match self.read_at {
@@ -198,7 +198,7 @@
         };
         let known = &host.heartbeat;
         if !is_news {
-            // Hearsay comes without the key.
+            // A relayed heartbeat comes without the key.
             if known.incarnation == heartbeat.incarnation && known.sequence == heartbeat.sequence {
                 host.heartbeat.key = host.heartbeat.key.take().or(heartbeat.key);
             }
@@ -207,7 +207,8 @@
         if known.incarnation == heartbeat.incarnation {
             if !is_old {
                 let can_answer = heartbeat.key.is_some();
-                host.liveness.hear(reading, received, can_answer);
+                host.liveness
+                    .record_heartbeat(reading, received, can_answer);
             }
         } else {
             host.former.insert(0, known.incarnation);
@@ -250,9 +251,9 @@
 
     /// Records a heartbeat that another host passed on since it takes the host for alive. It tells nothing of a host
     /// that is known.
-    pub fn record_hearsay(&mut self, now: Instant, heartbeat: Heartbeat) {
+    pub fn record_relayed(&mut self, now: Instant, heartbeat: Heartbeat) {
         if !self.hosts.contains_key(&heartbeat.host) {
-            self.insert(heartbeat, Some(now), Liveness::hearsay(now));
+            self.insert(heartbeat, Some(now), Liveness::relayed(now));
         }
     }
 
@@ -273,27 +274,27 @@
         }
     }
 
-    /// Returns the hosts to ask now whether they are alive, `own` excluded, and records that.
+    /// Returns the probes to send now, to all hosts but `own`, and records them.
     ///
     /// In a gap of the reading these are all hosts whose last word isn't young: no heartbeat shows that a host has
     /// ended. Otherwise only those that are in doubt.
-    pub fn questions(&mut self, now: Instant, own: &Name) -> Vec<Question> {
+    pub fn probes(&mut self, now: Instant, own: &Name) -> Vec<Probe> {
         let reading = self.reading(now);
-        let mut questions = Vec::new();
+        let mut probes = Vec::new();
         if let Some(host) = self.hosts.get_mut(own) {
             host.liveness = Liveness::first(now, Received::Fresh);
         }
         for (name, host) in self.hosts.iter_mut().filter(|(name, _)| *name != own) {
             let liveness = &mut host.liveness;
             if !reading.is_current() {
-                liveness.doubt_if_older(reading, QUESTION_AGE_MS);
+                liveness.doubt_if_older(reading, PROBE_AGE_MS);
             }
-            if host.heartbeat.key.is_some() && liveness.is_question_due(now) {
-                self.last_question += 1;
-                liveness.ask(now, self.last_question);
-                questions.push(Question {
+            if host.heartbeat.key.is_some() && liveness.is_probe_due(now) {
+                self.last_probe += 1;
+                liveness.record_probe(now, self.last_probe);
+                probes.push(Probe {
                     heartbeat: host.heartbeat.clone(),
-                    number: self.last_question,
+                    number: self.last_probe,
                 });
             }
             liveness.expire(reading, QUOTA_TIMEOUT_MS);
@@ -301,7 +302,7 @@
                 self.unanswered.remove(name);
             }
         }
-        questions
+        probes
     }
 
     /// Returns the hosts that have ceased to count as live since they didn't answer, each once.
@@ -310,7 +311,7 @@
         let silent = self
             .hosts
             .iter()
-            .filter(|(_, host)| host.liveness.is_asked() && !host.liveness.is_live(reading));
+            .filter(|(_, host)| host.liveness.is_probed() && !host.liveness.is_live(reading));
         let silent = silent.map(|(name, _)| name.clone());
         let newly: Vec<Name> = silent
             .filter(|name| !self.unanswered.contains(name))
@@ -319,9 +320,9 @@
         newly
     }
 
-    /// Records the answer of a host to a question, with its incarnation and whether it serves callers. Returns whether
+    /// Records the answer of a host to a probe, with its incarnation and whether it serves callers. Returns whether
     /// that changes whether the host counts as live or serving.
-    pub fn answer(
+    pub fn record_ack(
         &mut self,
         now: Instant,
         name: &Name,
@@ -339,7 +340,7 @@
             host.liveness.end(now);
             return was_live;
         }
-        if !host.liveness.answer(now, number) {
+        if !host.liveness.record_ack(now, number) {
             return false;
         }
         host.received_at = Some(now);
@@ -371,7 +372,7 @@
         let since = self.outage_since.take();
         if since.is_some_and(|since| now.since_ms(since) >= HEARTBEAT_INTERVAL_MS) {
             for host in self.hosts.values_mut() {
-                host.liveness.doubt_if_older(reading, QUESTION_AGE_MS);
+                host.liveness.doubt_if_older(reading, PROBE_AGE_MS);
             }
             self.store_recovered_at = now;
         }
--- a/src/shell/gateway/datagrams/liveness.rs
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -1,4 +1,4 @@
-//! Questions to hosts that are in doubt, and their answers.
+//! Probes of hosts that are in doubt, and their answers.
 
 use std::net::SocketAddr;
 
@@ -12,30 +12,30 @@
     log::Event, //
 };
 
-/// Asks the hosts whose last word isn't young whether they are alive, and logs those that don't answer in time.
-pub(in crate::shell::gateway) fn ask(gateway: &Gateway) {
+/// Probes the hosts whose last word isn't young, and logs those that don't answer in time.
+pub(in crate::shell::gateway) fn probe(gateway: &Gateway) {
     let now = gateway.now();
     let mut hosts = gateway.hosts.borrow_mut();
-    let questions = hosts.questions(now, &gateway.identity.host);
+    let probes = hosts.probes(now, &gateway.identity.host);
     let unanswered = hosts.newly_unanswered(now);
     drop(hosts);
-    for question in questions {
-        let number = question.number;
-        send(gateway, &question.heartbeat, &Message::Question { number });
+    for probe in probes {
+        let number = probe.number;
+        send(gateway, &probe.heartbeat, &Message::Probe { number });
     }
     for name in &unanswered {
         gateway.overview.take();
         gateway.log.write(&Event::Dependency {
             name,
             up: false,
-            why: "no fresh heartbeat, and no answer to questions",
+            why: "no fresh heartbeat, and no answer to probes",
         });
     }
 }
 
-/// Answers a question of another host.
+/// Answers a probe of another host.
 pub(super) fn answer(gateway: &Gateway, from: SocketAddr, number: u64) {
-    let message = Message::Alive {
+    let message = Message::Ack {
         number,
         incarnation: gateway.store.incarnation(),
         serving: gateway.schedule().is_none(),
@@ -59,7 +59,7 @@
     else {
         return;
     };
-    let is_change = hosts.answer(now, &name, number, incarnation, serving);
+    let is_change = hosts.record_ack(now, &name, number, incarnation, serving);
     drop(hosts);
     if is_change {
         gateway.overview.take();
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -42,7 +42,7 @@
     Lease,
     ask, //
 };
-pub(super) use liveness::ask as ask_hosts;
+pub(super) use liveness::probe as probe_hosts;
 use placements::Placement;
 pub(super) use placements::record_placement;
 
@@ -69,12 +69,12 @@
     Quarantine(quarantine::Report),
     Limit(limits::Limit),
     Rollout(rollouts::Report),
-    /// Asks whether a host is alive.
-    Question {
+    /// Asks a host whether it is alive.
+    Probe {
         number: u64,
     },
     /// The answer, with the incarnation of the host and whether it serves callers.
-    Alive {
+    Ack {
         number: u64,
         incarnation: u64,
         serving: bool,
@@ -180,8 +180,8 @@
         };
         // A message of another version is ignored, as if it were lost.
         match postcard::from_bytes(content) {
-            Ok(Message::Question { number }) => liveness::answer(&gateway, from, number),
-            Ok(Message::Alive {
+            Ok(Message::Probe { number }) => liveness::answer(&gateway, from, number),
+            Ok(Message::Ack {
                 number,
                 incarnation,
                 serving,
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -340,7 +340,7 @@
             gateway.metrics.given_up.add(given_up, &[]);
         }
         gateway.pool.close_expired();
-        datagrams::ask_hosts(&gateway);
+        datagrams::probe_hosts(&gateway);
         quarantines::expire(&gateway);
         gateway.limits.borrow_mut().expire(clock::unix_ms());
         gateway.pauses.borrow_mut().expire(now);
--- a/src/shell/gateway/store/apply.rs
+++ b/src/shell/gateway/store/apply.rs
@@ -82,7 +82,7 @@
         let others = snapshot.hosts.into_iter();
         for heartbeat in others.filter(|heartbeat| heartbeat.host != gateway.identity.host) {
             merge_observations(gateway, &heartbeat);
-            gateway.hosts.borrow_mut().record_hearsay(now, heartbeat);
+            gateway.hosts.borrow_mut().record_relayed(now, heartbeat);
         }
     }
 }
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -302,7 +302,7 @@
     assert_eq!(table.newest_config(at(HEARTBEAT_TIMEOUT_MS)), None);
 }
 
-/// Heartbeat of a host that can be asked.
+/// Heartbeat of a host that can be probed.
 fn keyed(host: &str, sequence: u64) -> Heartbeat {
     Heartbeat {
         key: Some(Key::new([7; 32])),
@@ -313,12 +313,12 @@
 /// Interval of the ticks of a host, in milliseconds.
 const TICK_MS: u64 = 100;
 
-/// A table of host `own` that is asked every tick, beside hosts that answer at once and others that don't.
+/// A table of host `own` that probes every tick, beside hosts that answer at once and others that don't.
 struct Ticking {
     table: Table,
     now_ms: u64,
     answering: Vec<&'static str>,
-    // Number of questions so far.
+    // Number of probes so far.
     asked: usize,
 }
 
@@ -342,11 +342,11 @@
         while self.now_ms < end_ms {
             self.now_ms += TICK_MS;
             let now = at(self.now_ms);
-            for question in self.table.questions(now, &"own".into()) {
+            for probe in self.table.probes(now, &"own".into()) {
                 self.asked += 1;
-                let host = &question.heartbeat.host;
+                let host = &probe.heartbeat.host;
                 if self.answering.iter().any(|it| **it == **host) {
-                    self.table.answer(now, host, question.number, 1, true);
+                    self.table.record_ack(now, host, probe.number, 1, true);
                 }
             }
         }
@@ -403,11 +403,7 @@
     hosts.table.store_recovered(at(60_000));
     hosts.tick_until(64_000);
     assert_eq!(hosts.live().len(), 3);
-    assert!(
-        hosts.asked < 2 * 60,
-        "{} questions in a minute",
-        hosts.asked
-    );
+    assert!(hosts.asked < 2 * 60, "{} probes in a minute", hosts.asked);
 }
 
 /// A host that doesn't answer others in an outage still names itself, and the others again when they answer.
@@ -435,15 +431,15 @@
     assert_eq!(hosts.table.silent(at(30_000)).count(), 2, "they may run");
 }
 
-/// A host that starts in an outage knows the others from a third one, without their keys. It can't ask them.
+/// A host that starts in an outage knows the others from a third one, without their keys. It can't probe them.
 #[test]
-fn live_hearsay_in_outage() {
+fn live_relayed_in_outage() {
     let mut hosts = Ticking::new(&[], &[]);
     hosts.table.store_failed(at(100));
     for end_ms in (800..10_000).step_by(800) {
         hosts
             .table
-            .record_hearsay(at(end_ms), heartbeat("a", "r", 5));
+            .record_relayed(at(end_ms), heartbeat("a", "r", 5));
         hosts.tick_until(end_ms);
         assert_eq!(hosts.live(), ["a", "own"]);
     }
@@ -457,12 +453,12 @@
 
 /// What another host passes on tells nothing of a host that is known.
 #[test]
-fn record_hearsay_known_host_not_younger() {
+fn record_relayed_known_host_not_younger() {
     let mut hosts = Ticking::new(&["a"], &[]);
     for end_ms in (500..8_000).step_by(500) {
         hosts.tick_until(end_ms);
         hosts.table.read(at(end_ms));
-        hosts.table.record_hearsay(at(end_ms), keyed("a", end_ms));
+        hosts.table.record_relayed(at(end_ms), keyed("a", end_ms));
     }
     assert_eq!(hosts.live(), ["own"]);
 }
@@ -541,34 +537,42 @@
 
 /// An answer that was held up on its way, or is of another start, says nothing of this moment.
 #[test]
-fn answer_late_or_of_another_start() {
+fn record_ack_late_or_of_another_start() {
     let mut hosts = Ticking::new(&["a"], &[]);
     hosts.tick_until(3_000);
-    let question = hosts.table.questions(at(3_100), &"own".into());
-    let number = question[0].number;
+    let probe = hosts.table.probes(at(3_100), &"own".into());
+    let number = probe[0].number;
     let name = "a".into();
     assert!(
-        !hosts.table.answer(at(5_000), &name, number, 1, true),
+        !hosts.table.record_ack(at(5_000), &name, number, 1, true),
         "late"
     );
-    assert!(!hosts.table.answer(at(5_000), &name, number + 9, 1, true));
+    assert!(
+        !hosts
+            .table
+            .record_ack(at(5_000), &name, number + 9, 1, true)
+    );
     assert_eq!(live(&hosts.table, 5_000), ["own"]);
-    let question = hosts.table.questions(at(5_000), &"own".into());
-    let number = question[0].number;
-    hosts.table.answer(at(5_001), &name, number, 2, true);
+    let probe = hosts.table.probes(at(5_000), &"own".into());
+    let number = probe[0].number;
+    hosts.table.record_ack(at(5_001), &name, number, 2, true);
     assert_eq!(live(&hosts.table, 5_002), ["own"], "another start");
-    assert!(hosts.table.answer(at(5_003), &name, number, 1, true));
+    assert!(hosts.table.record_ack(at(5_003), &name, number, 1, true));
     assert_eq!(live(&hosts.table, 5_004), ["a", "own"]);
 }
 
 /// A host that stops in an outage can't announce it in the store.
 #[test]
-fn answer_of_stopping_host() {
+fn record_ack_of_stopping_host() {
     let mut hosts = Ticking::new(&["a"], &[]);
     hosts.tick_until(3_000);
-    let question = hosts.table.questions(at(3_100), &"own".into());
-    let number = question[0].number;
-    assert!(hosts.table.answer(at(3_101), &"a".into(), number, 1, false));
+    let probe = hosts.table.probes(at(3_100), &"own".into());
+    let number = probe[0].number;
+    assert!(
+        hosts
+            .table
+            .record_ack(at(3_101), &"a".into(), number, 1, false)
+    );
     let named = lookup::addresses(at(3_102), &hosts.table, "r", "r");
     assert_eq!(named, [keyed("own", 1).caller_address]);
 }
@@ -601,9 +605,9 @@
     assert_eq!(hosts.live(), ["alive", "own"]);
 }
 
-/// The load of questions in a large deployment: 295 hosts that all answer, in an outage of a minute.
+/// The load of probes in a large deployment: 295 hosts that all answer, in an outage of a minute.
 #[test]
-fn questions_large_deployment() {
+fn probes_large_deployment() {
     let names: Vec<String> = (0..294).map(|index| format!("host-{index}")).collect();
     let mut table = Table::default();
     table.record_own(at(0), keyed("own", 1));
@@ -614,12 +618,12 @@
     table.store_failed(at(500));
     let mut asked = 0;
     for now_ms in (500..60_500).step_by(100) {
-        for question in table.questions(at(now_ms), &"own".into()) {
+        for probe in table.probes(at(now_ms), &"own".into()) {
             asked += 1;
-            let host = &question.heartbeat.host;
-            table.answer(at(now_ms), host, question.number, 1, true);
+            let host = &probe.heartbeat.host;
+            table.record_ack(at(now_ms), host, probe.number, 1, true);
         }
     }
     assert_eq!(live(&table, 60_500).len(), 295);
-    assert!(asked <= 294 * 60 / 2, "{asked} questions in a minute");
+    assert!(asked <= 294 * 60 / 2, "{asked} probes in a minute");
 }
