--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -1,6 +1,6 @@
-//! Whether a host is alive, as far as its own word tells.
+//! Whether a host is alive, by its own heartbeats and answers.
 //!
-//! A host is young only by its own fresh word: a heartbeat that is read without a gap in the reading, or an answer to a
+//! Only these make the belief that it is alive young: a heartbeat that is read without a gap in the reading, or an answer to a
 //! probe. A heartbeat that is read behind a gap may be as old as the gap, and one that a lost call left behind may
 //! be executed at any time. Such heartbeats, and what was known before the gap, leave the host in doubt until it has
 //! answered.
@@ -41,7 +41,7 @@
 /// What is known of whether a host is alive.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Liveness {
-    // When it was alive, by its own word.
+    // When it was alive, by its own heartbeat or answer.
     alive_at: Option<Instant>,
     doubt: Option<Doubt>,
 }
@@ -89,7 +89,7 @@
 }
 
 impl Liveness {
-    /// The liveness of a host of which this is the first fresh word.
+    /// The liveness of a host of which this is the first heartbeat.
     pub(super) fn first(now: Instant, received: Received) -> Self {
         match received {
             Received::Fresh => Self {
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Raises a doubt if the host counts as live and its last word is older than `age_ms`.
+    /// Raises a doubt if the host counts as live and its last heartbeat or answer is older than `age_ms`.
     pub(super) fn doubt_if_older(&mut self, reading: Reading, age_ms: u64) {
         let Reading { now, .. } = reading;
         let is_young = self.alive_at.is_some_and(|at| now.since_ms(at) < age_ms);
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -50,11 +50,12 @@
 /// may be paused and send its pending requests when it resumes.
 const QUOTA_TIMEOUT_MS: u64 = 12_000;
 
-/// Time between two reads of the heartbeats beyond which there is a gap, in milliseconds: two heartbeats and a long
-/// poll. Heartbeats that are read behind it may be as old, and the lack of one tells nothing.
+/// Time between two reads of the heartbeats beyond which there is a gap, in milliseconds. Usually a read ends with the
+/// next heartbeat, at the latest this host's own, and the next one follows after the interval of heartbeats. Heartbeats
+/// that are read behind a gap may be as old, and the lack of one tells nothing.
 const READ_GAP_MS: u64 = 3_000;
 
-/// Age of the last word of a host at which it is probed while there is a gap in the reading, in milliseconds: two
+/// Age of the last heartbeat or answer of a host at which it is probed while there is a gap in the reading, in milliseconds: two
 /// heartbeats.
 const PROBE_AGE_MS: u64 = 2 * HEARTBEAT_INTERVAL_MS;
 
@@ -276,7 +277,7 @@
 
     /// Returns the probes to send now, to all hosts but `own`, and records them.
     ///
-    /// In a gap of the reading these are all hosts whose last word isn't young: no heartbeat shows that a host has
+    /// In a gap of the reading these are all hosts whose last heartbeat or answer isn't young: no heartbeat shows that a host has
     /// ended. Otherwise only those that are in doubt.
     pub fn probes(&mut self, now: Instant, own: &Name) -> Vec<Probe> {
         let reading = self.reading(now);
--- a/src/shell/gateway/datagrams/liveness.rs
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -12,7 +12,7 @@
     log::Event, //
 };
 
-/// Probes the hosts whose last word isn't young, and logs those that don't answer in time.
+/// Probes the hosts whose last heartbeat or answer isn't young, and logs those that don't answer in time.
 pub(in crate::shell::gateway) fn probe(gateway: &Gateway) {
     let now = gateway.now();
     let mut hosts = gateway.hosts.borrow_mut();
