Log when a host begins or ceases to count as live, and by what evidence

Change: Table::transitions replaces newly_unanswered. Each tick it returns the hosts whose liveness changed, with the evidence (heartbeat, answer, relayed), its age, and the time of unanswered probes. The log has a line liveness for each.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -5,8 +5,14 @@
 //! be executed at any time. Such heartbeats, and what was known before the gap, leave the host in doubt until it has
 //! answered.
 
-use super::HEARTBEAT_TIMEOUT_MS;
-use crate::time::Instant;
+use super::{
+    HEARTBEAT_TIMEOUT_MS,
+    Transition, //
+};
+use crate::{
+    names::Name,
+    time::Instant, //
+};
 
 /// Interval of probes of a host in doubt, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 500;
@@ -38,9 +44,36 @@
     AfterGap(Instant),
 }
 
+/// What showed last that a host is alive.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Evidence {
+    /// Nothing: it was in the store before this host started.
+    #[default]
+    None,
+    /// Its heartbeat.
+    Heartbeat,
+    /// Its answer to a probe.
+    Answer,
+    /// Another host, which took it for alive.
+    Relayed,
+}
+
+impl Evidence {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Heartbeat => "heartbeat",
+            Self::Answer => "answer",
+            Self::Relayed => "relayed",
+        }
+    }
+}
+
 /// What is known of whether a host is alive.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Liveness {
+    evidence: Evidence,
     // When it was alive, by its own heartbeat or answer.
     alive_at: Option<Instant>,
     doubt: Option<Doubt>,
@@ -93,10 +126,12 @@
     pub(super) fn first(now: Instant, received: Received) -> Self {
         match received {
             Received::Fresh => Self {
+                evidence: Evidence::Heartbeat,
                 alive_at: Some(now),
                 doubt: None,
             },
             Received::AfterGap(since) => Self {
+                evidence: Evidence::Heartbeat,
                 alive_at: Some(since),
                 doubt: Some(Doubt::new(now, true)),
             },
@@ -106,6 +141,7 @@
     /// The liveness of a host that another one takes for alive.
     pub(super) fn relayed(now: Instant) -> Self {
         Self {
+            evidence: Evidence::Relayed,
             alive_at: None,
             doubt: Some(Doubt::new(now, true)),
         }
@@ -114,6 +150,7 @@
     /// The liveness of a host that has started anew at an unknown time.
     pub(super) fn restarted(now: Instant) -> Self {
         Self {
+            evidence: Evidence::None,
             alive_at: None,
             doubt: Some(Doubt::new(now, false)),
         }
@@ -148,11 +185,13 @@
         let is_live = self.is_live(reading);
         match (received, &mut self.doubt) {
             (Received::AfterGap(since), None) => {
-                self.alive_at = self.alive_at.max(Some(since));
+                self.observe(Evidence::Heartbeat, since);
                 self.doubt = Some(Doubt::new(now, is_live));
             }
-            (Received::AfterGap(since), Some(_)) => self.alive_at = self.alive_at.max(Some(since)),
-            (Received::Fresh, None) if is_live || !can_answer => self.alive_at = Some(now),
+            (Received::AfterGap(since), Some(_)) => self.observe(Evidence::Heartbeat, since),
+            (Received::Fresh, None) if is_live || !can_answer => {
+                self.observe(Evidence::Heartbeat, now);
+            }
             (Received::Fresh, None) => {
                 let doubt = self.doubt.insert(Doubt::new(now, false));
                 doubt.heard_at = Some(now);
@@ -160,7 +199,7 @@
             (Received::Fresh, Some(doubt)) => {
                 let first = *doubt.heard_at.get_or_insert(now);
                 if !can_answer || now.since_ms(first) >= HEARTBEATS_APART_MS {
-                    self.confirm(now);
+                    self.confirm(Evidence::Heartbeat, now);
                 }
             }
         }
@@ -191,13 +230,6 @@
         doubt.probes[0].is_none_or(|(_, at)| now.since_ms(at) >= interval_ms)
     }
 
-    /// Returns whether the host was probed and has not answered yet.
-    pub(super) fn is_probed(&self) -> bool {
-        self.doubt
-            .as_ref()
-            .is_some_and(|doubt| doubt.probed_since.is_some())
-    }
-
     /// Records a probe of the host.
     pub(super) fn record_probe(&mut self, now: Instant, number: u64) {
         if let Some(doubt) = &mut self.doubt {
@@ -213,7 +245,7 @@
             .flatten()
             .any(|(it, at)| it == number && now.since_ms(at) <= MAX_ANSWER_AGE_MS);
         if is_fresh {
-            self.confirm(now);
+            self.confirm(Evidence::Answer, now);
         }
         is_fresh
     }
@@ -224,11 +256,31 @@
         doubt.is_presumed = false;
     }
 
-    fn confirm(&mut self, now: Instant) {
-        self.alive_at = Some(now);
+    /// Records that the host was alive at a time.
+    fn observe(&mut self, evidence: Evidence, at: Instant) {
+        if self.alive_at.is_none_or(|known| known < at) {
+            self.evidence = evidence;
+            self.alive_at = Some(at);
+        }
+    }
+
+    fn confirm(&mut self, evidence: Evidence, at: Instant) {
+        self.observe(evidence, at);
         self.doubt = None;
     }
 
+    /// Returns the state of a host that began or ceased to count as live, and its reasons.
+    pub(super) fn transition(&self, now: Instant, name: &Name, live: bool) -> Transition {
+        let probed_since = self.doubt.as_ref().and_then(|doubt| doubt.probed_since);
+        Transition {
+            name: name.clone(),
+            live,
+            evidence: self.evidence,
+            age_ms: self.alive_at.map(|at| now.since_ms(at)),
+            unanswered_ms: probed_since.map(|since| now.since_ms(since)),
+        }
+    }
+
     /// Drops a doubt of a host that has not answered for so long that only its next start matters.
     pub(super) fn expire(&mut self, reading: Reading, age_ms: u64) {
         let since = self.doubt.as_ref().and_then(|doubt| doubt.probed_since);
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -20,6 +20,7 @@
 
 mod liveness;
 
+pub use liveness::Evidence;
 use liveness::{
     Liveness,
     Reading,
@@ -143,6 +144,21 @@
     pub number: u64,
 }
 
+/// A host that began or ceased to count as live, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Transition {
+    /// Its name.
+    pub name: Name,
+    /// Whether it counts as live now.
+    pub live: bool,
+    /// What showed last that it is alive.
+    pub evidence: Evidence,
+    /// Age of the evidence, in milliseconds. `None` if there is none.
+    pub age_ms: Option<u64>,
+    /// Time since the first probe that it has not answered, in milliseconds. `None` if it wasn't probed since.
+    pub unanswered_ms: Option<u64>,
+}
+
 /// All known hosts.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -154,8 +170,8 @@
     // When the heartbeats were last read.
     read_at: Option<Instant>,
     last_probe: u64,
-    // Hosts that don't count as live since they didn't answer.
-    unanswered: BTreeSet<Name>,
+    // Hosts that counted as live when the last transitions were returned.
+    live_before: BTreeSet<Name>,
     // Hosts that don't answer this one, and since when.
     suspects: BTreeMap<Name, Instant>,
     // The host that last had an address for datagrams.
@@ -285,7 +301,8 @@
         if let Some(host) = self.hosts.get_mut(own) {
             host.liveness = Liveness::first(now, Received::Fresh);
         }
-        for (name, host) in self.hosts.iter_mut().filter(|(name, _)| *name != own) {
+        let others = self.hosts.iter_mut().filter(|(name, _)| *name != own);
+        for host in others.map(|(_, host)| host) {
             let liveness = &mut host.liveness;
             if !reading.is_current() {
                 liveness.doubt_if_older(reading, PROBE_AGE_MS);
@@ -299,26 +316,28 @@
                 });
             }
             liveness.expire(reading, QUOTA_TIMEOUT_MS);
-            if liveness.is_live(reading) {
-                self.unanswered.remove(name);
-            }
         }
         probes
     }
 
-    /// Returns the hosts that have ceased to count as live since they didn't answer, each once.
-    pub fn newly_unanswered(&mut self, now: Instant) -> Vec<Name> {
+    /// Returns the hosts that began or ceased to count as live since the last call.
+    pub fn transitions(&mut self, now: Instant) -> Vec<Transition> {
         let reading = self.reading(now);
-        let silent = self
-            .hosts
-            .iter()
-            .filter(|(_, host)| host.liveness.is_probed() && !host.liveness.is_live(reading));
-        let silent = silent.map(|(name, _)| name.clone());
-        let newly: Vec<Name> = silent
-            .filter(|name| !self.unanswered.contains(name))
-            .collect();
-        self.unanswered.extend(newly.iter().cloned());
-        newly
+        let mut transitions = Vec::new();
+        for (name, host) in &self.hosts {
+            let live = host.liveness.is_live(reading);
+            if live != self.live_before.contains(name) {
+                transitions.push(host.liveness.transition(now, name, live));
+            }
+        }
+        for transition in &transitions {
+            if transition.live {
+                self.live_before.insert(transition.name.clone());
+            } else {
+                self.live_before.remove(&transition.name);
+            }
+        }
+        transitions
     }
 
     /// Records the answer of a host to a probe, with its incarnation and whether it serves callers. Returns whether
--- a/src/core/timeline/mod.rs
+++ b/src/core/timeline/mod.rs
@@ -134,7 +134,7 @@
         match &*line.message {
             "start" | "stop" | "reload" | "paused" | "dependency" | "configuration"
             | "data centre" | "lines dropped" | "learned" => is_on_host,
-            "host" => is_on_host && mentions("name", &self.hosts),
+            "host" | "liveness" => is_on_host && mentions("name", &self.hosts),
             "server" => is_on_host && mentions("server", &self.servers),
             "batch" => self.stages.iter().any(|stage| stage.includes(line)),
             "attempt failed"
--- a/src/shell/gateway/datagrams/liveness.rs
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -12,24 +12,22 @@
     log::Event, //
 };
 
-/// Probes the hosts whose last heartbeat or answer isn't young, and logs those that don't answer in time.
+/// Probes the hosts whose last heartbeat or answer isn't young, and logs which hosts began or ceased to count as live.
 pub(in crate::shell::gateway) fn probe(gateway: &Gateway) {
     let now = gateway.now();
     let mut hosts = gateway.hosts.borrow_mut();
     let probes = hosts.probes(now, &gateway.identity.host);
-    let unanswered = hosts.newly_unanswered(now);
+    let transitions = hosts.transitions(now);
     drop(hosts);
     for probe in probes {
         let number = probe.number;
         send(gateway, &probe.heartbeat, &Message::Probe { number });
     }
-    for name in &unanswered {
+    if !transitions.is_empty() {
         gateway.overview.take();
-        gateway.log.write(&Event::Dependency {
-            name,
-            up: false,
-            why: "no fresh heartbeat, and no answer to probes",
-        });
+    }
+    for transition in transitions {
+        gateway.log.write(&Event::Liveness(transition));
     }
 }
 
--- a/src/shell/gateway/log.rs
+++ b/src/shell/gateway/log.rs
@@ -12,6 +12,7 @@
     core::gateway::{
         balance::Segment,
         cache,
+        hosts,
         placement::cost::Estimate,
         position::Position,
         quarantine, //
@@ -185,6 +186,8 @@
         /// Whether it serves.
         serving: bool,
     },
+    /// A host began or ceased to count as live, and so to be named to callers while it serves.
+    Liveness(hosts::Transition),
     /// The gateway refused a request itself.
     Refused {
         /// Its id.
@@ -482,6 +485,11 @@
             Event::Host { name, serving } => {
                 slog::info!(log, "host"; "name" => %name, "serving" => serving);
             }
+            Event::Liveness(transition) => {
+                slog::info!(log, "liveness"; "name" => %transition.name, "live" => transition.live,
+                    "evidence" => transition.evidence.name(), "age_ms" => transition.age_ms,
+                    "unanswered_ms" => transition.unanswered_ms);
+            }
             Event::Pause {
                 server,
                 service,
