Take a heartbeat for as old as its sender's clock tells

What callers saw: a host that was killed is named by lookups for over 7 s after its end, by hosts that read the store all the while.

Cause: a heartbeat that was newer by the host's numbers counted from when it arrived, as long as the host still counted as live. What a writer has sent when it is cut off or paused is executed up to seconds later.

Change: heartbeats and answers to probes state the time since their sender's start. The least difference between arrival and that time, in the last one to two minutes, tells when a message was sent at the latest (hosts::peer_clock). The age of the belief counts from there, or from when the answered probe was sent. A host whose last word is 3.6 s old is probed also while the store is read, so that a live one with slow heartbeats stays live. The first read behind a gap raises the doubts, in place of each heartbeat that it contains.

Why it works: the statement is the sender's own, whenever the heartbeat arrives, and its clock doesn't depend on the time of day.

Tests: killed_host_not_named_after_slightly_late_heartbeat and record_late_heartbeat_of_live_host failed before. record_heartbeats_of_drifting_clock and live_host_with_slow_heartbeats guard the estimate and live hosts. Tests of the table now state when heartbeats were sent. record_after_pause_before_first_tick asks for more: this host names itself at once. In record_heartbeat_of_resumed_host the paused host now doesn't answer while it is paused, which the new probes would tell.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -1,13 +1,15 @@
 //! Whether a host is alive, by its own heartbeats and answers.
 //!
-//! Only these make the belief that it is alive young: a heartbeat that is read without a gap in the reading, or an answer to a
-//! probe. A heartbeat that is read behind a gap may be as old as the gap, and one that a lost call left behind may
-//! be executed at any time. Such heartbeats, and what was known before the gap, leave the host in doubt until it has
-//! answered.
+//! Only these make the belief that it is alive young: its heartbeat, which is as old as its sender's clock tells, or its answer to
+//! a probe, which is as old as the probe. When a heartbeat arrives tells nothing: it may be read late, and a call that a
+//! writer has lost may be executed at any time. A host whose last word isn't young is in doubt until it has answered.
 
 use super::{
+    Ack,
     HEARTBEAT_TIMEOUT_MS,
-    Transition, //
+    Heartbeat,
+    Transition,
+    peer_clock::PeerClock, //
 };
 use crate::{
     names::Name,
@@ -27,23 +29,18 @@
 /// back takes a fraction of it, also while the processors of both hosts are busy.
 const MAX_ANSWER_AGE_MS: u64 = 1_000;
 
-/// Time in which a host that was live has to answer the first probe, in milliseconds: three probes, of which two
-/// may be lost.
+/// Time in which a host that was live has to answer the first probe where its heartbeats can't arrive, in milliseconds:
+/// three probes, of which two may be lost.
 const ANSWER_TIME_MS: u64 = 1_500;
 
+/// Age of the last heartbeat or answer of a host at which it is probed while heartbeats are read, in milliseconds: two
+/// heartbeats, the second of which took a second more than usual. It has the rest of the timeout to answer.
+const OVERDUE_MS: u64 = 2 * super::HEARTBEAT_INTERVAL_MS + 1_000;
+
 /// Time between two heartbeats that show that a host is alive although it doesn't answer, in milliseconds: two
 /// intervals. Heartbeats that lost calls left behind are executed together.
 const HEARTBEATS_APART_MS: u64 = 2 * super::HEARTBEAT_INTERVAL_MS;
 
-/// How a heartbeat was received.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Received {
-    /// By a read that followed the one before it without a gap.
-    Fresh,
-    /// By the first read after a gap, which began with the read at this time.
-    AfterGap(Instant),
-}
-
 /// What showed last that a host is alive.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Evidence {
@@ -76,6 +73,7 @@
     evidence: Evidence,
     // When it was alive, by its own heartbeat or answer.
     alive_at: Option<Instant>,
+    clock: PeerClock,
     doubt: Option<Doubt>,
 }
 
@@ -85,6 +83,8 @@
     raised_at: Instant,
     // Whether it counts as live until it has had the time to answer.
     is_presumed: bool,
+    // When that time ends while heartbeats are read.
+    limit: Option<Instant>,
     probed_since: Option<Instant>,
     // The last two probes.
     probes: [Option<(u64, Instant)>; 2],
@@ -97,6 +97,7 @@
         Self {
             raised_at: now,
             is_presumed,
+            limit: None,
             probed_since: None,
             probes: [None; 2],
             heard_at: None,
@@ -122,19 +123,24 @@
 }
 
 impl Liveness {
-    /// The liveness of a host of which this is the first heartbeat.
-    pub(super) fn first(now: Instant, received: Received) -> Self {
-        match received {
-            Received::Fresh => Self {
-                evidence: Evidence::Heartbeat,
-                alive_at: Some(now),
-                doubt: None,
-            },
-            Received::AfterGap(since) => Self {
-                evidence: Evidence::Heartbeat,
-                alive_at: Some(since),
-                doubt: Some(Doubt::new(now, true)),
-            },
+    /// The liveness of a host of whose start this is the first heartbeat.
+    pub(super) fn first(now: Instant, heartbeat: &Heartbeat) -> Self {
+        let mut clock = PeerClock::default();
+        clock.observe(now, heartbeat.uptime_ms);
+        Self {
+            evidence: Evidence::Heartbeat,
+            alive_at: Some(now),
+            clock,
+            doubt: None,
+        }
+    }
+
+    /// The liveness of this host.
+    pub(super) fn own(now: Instant) -> Self {
+        Self {
+            evidence: Evidence::Heartbeat,
+            alive_at: Some(now),
+            ..Self::default()
         }
     }
 
@@ -142,17 +148,16 @@
     pub(super) fn relayed(now: Instant) -> Self {
         Self {
             evidence: Evidence::Relayed,
-            alive_at: None,
             doubt: Some(Doubt::new(now, true)),
+            ..Self::default()
         }
     }
 
     /// The liveness of a host that has started anew at an unknown time.
     pub(super) fn restarted(now: Instant) -> Self {
         Self {
-            evidence: Evidence::None,
-            alive_at: None,
             doubt: Some(Doubt::new(now, false)),
+            ..Self::default()
         }
     }
 
@@ -171,37 +176,37 @@
                 now.since_ms(since) < HEARTBEAT_TIMEOUT_MS
             }
         };
-        doubt.is_presumed && is_in_time
+        // Heartbeats that can't arrive tell nothing.
+        let is_overdue = reading.is_current() && doubt.limit.is_some_and(|limit| now >= limit);
+        doubt.is_presumed && is_in_time && !is_overdue
     }
 
-    /// Records a heartbeat that is newer than those before it. `can_answer` states whether the host can be probed.
-    pub(super) fn record_heartbeat(
-        &mut self,
-        reading: Reading,
-        received: Received,
-        can_answer: bool,
-    ) {
+    /// Records a heartbeat that is newer than those before it.
+    pub(super) fn record_heartbeat(&mut self, reading: Reading, heartbeat: &Heartbeat) {
         let now = reading.now;
         let is_live = self.is_live(reading);
-        match (received, &mut self.doubt) {
-            (Received::AfterGap(since), None) => {
-                self.observe(Evidence::Heartbeat, since);
-                self.doubt = Some(Doubt::new(now, is_live));
-            }
-            (Received::AfterGap(since), Some(_)) => self.observe(Evidence::Heartbeat, since),
-            (Received::Fresh, None) if is_live || !can_answer => {
-                self.observe(Evidence::Heartbeat, now);
-            }
-            (Received::Fresh, None) => {
-                let doubt = self.doubt.insert(Doubt::new(now, false));
-                doubt.heard_at = Some(now);
-            }
-            (Received::Fresh, Some(doubt)) => {
+        let can_answer = heartbeat.key.is_some();
+        let sent_at = self.clock.observe(now, heartbeat.uptime_ms);
+        self.observe(Evidence::Heartbeat, sent_at);
+        if !can_answer {
+            self.doubt = None;
+            return;
+        }
+        match &mut self.doubt {
+            None if is_live => {}
+            Some(doubt) if is_live || doubt.heard_at.is_some() => {
                 let first = *doubt.heard_at.get_or_insert(now);
-                if !can_answer || now.since_ms(first) >= HEARTBEATS_APART_MS {
-                    self.confirm(Evidence::Heartbeat, now);
+                if now.since_ms(first) >= HEARTBEATS_APART_MS && sent_at >= doubt.raised_at {
+                    self.doubt = None;
                 }
             }
+            // It may have been paused, and is probed at once.
+            doubt => {
+                *doubt = Some(Doubt {
+                    heard_at: Some(now),
+                    ..Doubt::new(now, false)
+                });
+            }
         }
     }
 
@@ -214,6 +219,18 @@
         }
     }
 
+    /// Raises a doubt if the last heartbeat or answer of the host is so old that a newer heartbeat should have been read.
+    pub(super) fn doubt_if_overdue(&mut self, reading: Reading) {
+        if self.doubt.is_some() {
+            return;
+        }
+        self.doubt_if_older(reading, OVERDUE_MS);
+        let limit = self.alive_at.map(|at| at.after_ms(HEARTBEAT_TIMEOUT_MS));
+        if let Some(doubt) = &mut self.doubt {
+            doubt.limit = limit;
+        }
+    }
+
     /// Returns whether the host is to be probed now.
     pub(super) fn is_probe_due(&self, now: Instant) -> bool {
         let Some(doubt) = &self.doubt else {
@@ -238,16 +255,18 @@
         }
     }
 
-    /// Records an answer of the host. Returns whether it is fresh.
-    pub(super) fn record_ack(&mut self, now: Instant, number: u64) -> bool {
-        let probes = self.doubt.iter().flat_map(|doubt| doubt.probes);
-        let is_fresh = probes
-            .flatten()
-            .any(|(it, at)| it == number && now.since_ms(at) <= MAX_ANSWER_AGE_MS);
-        if is_fresh {
-            self.confirm(Evidence::Answer, now);
-        }
-        is_fresh
+    /// Returns when the probe was sent that an answer repeats, if the answer is fresh.
+    pub(super) fn fresh_probe(&self, now: Instant, ack: &Ack) -> Option<Instant> {
+        let mut probes = self.doubt.iter().flat_map(|doubt| doubt.probes).flatten();
+        let (_, at) = probes.find(|(number, _)| *number == ack.number)?;
+        (now.since_ms(at) <= MAX_ANSWER_AGE_MS).then_some(at)
+    }
+
+    /// Records a fresh answer of the host to a probe that was sent at a time.
+    pub(super) fn record_ack(&mut self, now: Instant, ack: &Ack, probed_at: Instant) {
+        self.clock.observe(now, ack.uptime_ms);
+        self.observe(Evidence::Answer, probed_at);
+        self.doubt = None;
     }
 
     /// Records that the host has ended.
@@ -264,11 +283,6 @@
         }
     }
 
-    fn confirm(&mut self, evidence: Evidence, at: Instant) {
-        self.observe(evidence, at);
-        self.doubt = None;
-    }
-
     /// Returns the state of a host that began or ceased to count as live, and its reasons.
     pub(super) fn transition(&self, now: Instant, name: &Name, live: bool) -> Transition {
         let probed_since = self.doubt.as_ref().and_then(|doubt| doubt.probed_since);
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -19,12 +19,12 @@
 };
 
 mod liveness;
+mod peer_clock;
 
 pub use liveness::Evidence;
 use liveness::{
     Liveness,
-    Reading,
-    Received, //
+    Reading, //
 };
 
 use super::{
@@ -90,6 +90,8 @@
     pub incarnation: u64,
     /// Sequence number, ascending within an incarnation.
     pub sequence: u64,
+    /// Time from the start of its process to this heartbeat, by its own clock, in milliseconds.
+    pub uptime_ms: u64,
     /// Whether it accepts callers.
     pub serving: bool,
     /// Version of its configuration.
@@ -144,6 +146,19 @@
     pub number: u64,
 }
 
+/// The answer of a host to a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ack {
+    /// Number of the probe.
+    pub number: u64,
+    /// Incarnation of the host.
+    pub incarnation: u64,
+    /// Whether it accepts callers.
+    pub serving: bool,
+    /// Time from the start of its process to this answer, by its own clock, in milliseconds.
+    pub uptime_ms: u64,
+}
+
 /// A host that began or ceased to count as live, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Transition {
@@ -195,20 +210,16 @@
     /// unknown. Returns whether the host is new or starts or stops serving.
     ///
     /// A call to the store without an answer may be executed at any later time. So a heartbeat counts only if it is
-    /// newer than the last one by the host's own numbers, and it doesn't bring back a host that no longer counted as
-    /// live: that has to answer a probe first.
+    /// newer than the last one by the host's own numbers, is as old as the host's clock tells, and doesn't bring back a
+    /// host that no longer counted as live: that has to answer a probe first.
     pub fn record(&mut self, now: Instant, heartbeat: Heartbeat, is_old: bool) -> bool {
         let reading = self.reading(now);
-        let received = match self.read_at {
-            Some(at) if now.since_ms(at) > READ_GAP_MS => Received::AfterGap(at),
-            _ => Received::Fresh,
-        };
         let is_news = self.is_news(&heartbeat);
         let Some(host) = self.hosts.get_mut(&heartbeat.host) else {
             let liveness = if is_old {
                 Liveness::default()
             } else {
-                Liveness::first(now, received)
+                Liveness::first(now, &heartbeat)
             };
             self.insert(heartbeat, (!is_old).then_some(now), liveness);
             return true;
@@ -223,9 +234,7 @@
         }
         if known.incarnation == heartbeat.incarnation {
             if !is_old {
-                let can_answer = heartbeat.key.is_some();
-                host.liveness
-                    .record_heartbeat(reading, received, can_answer);
+                host.liveness.record_heartbeat(reading, &heartbeat);
             }
         } else {
             host.former.insert(0, known.incarnation);
@@ -233,7 +242,7 @@
             host.liveness = if is_old {
                 Liveness::restarted(now)
             } else {
-                Liveness::first(now, received)
+                Liveness::first(now, &heartbeat)
             };
         }
         let is_change = host.heartbeat.serving != heartbeat.serving;
@@ -262,7 +271,7 @@
         self.insert(
             heartbeat,
             Some(now),
-            Liveness::first(now, Received::Fresh), //
+            Liveness::own(now), //
         );
     }
 
@@ -275,7 +284,16 @@
     }
 
     /// Records that the heartbeats were read. To be called after what was read is recorded.
+    ///
+    /// Where there was a gap before, what was read is as old as it may be, and hosts that were live have to show that they
+    /// still are.
     pub fn read(&mut self, now: Instant) {
+        let reading = self.reading(now);
+        if !reading.is_current() {
+            for host in self.hosts.values_mut() {
+                host.liveness.doubt_if_older(reading, PROBE_AGE_MS);
+            }
+        }
         self.read_at = Some(now);
     }
 
@@ -299,12 +317,14 @@
         let reading = self.reading(now);
         let mut probes = Vec::new();
         if let Some(host) = self.hosts.get_mut(own) {
-            host.liveness = Liveness::first(now, Received::Fresh);
+            host.liveness = Liveness::own(now);
         }
         let others = self.hosts.iter_mut().filter(|(name, _)| *name != own);
         for host in others.map(|(_, host)| host) {
             let liveness = &mut host.liveness;
-            if !reading.is_current() {
+            if reading.is_current() {
+                liveness.doubt_if_overdue(reading);
+            } else {
                 liveness.doubt_if_older(reading, PROBE_AGE_MS);
             }
             if host.heartbeat.key.is_some() && liveness.is_probe_due(now) {
@@ -340,32 +360,25 @@
         transitions
     }
 
-    /// Records the answer of a host to a probe, with its incarnation and whether it serves callers. Returns whether
-    /// that changes whether the host counts as live or serving.
-    pub fn record_ack(
-        &mut self,
-        now: Instant,
-        name: &Name,
-        number: u64,
-        incarnation: u64,
-        serving: bool,
-    ) -> bool {
+    /// Records the answer of a host to a probe. Returns whether that changes whether the host counts as live or serving.
+    pub fn record_ack(&mut self, now: Instant, name: &Name, ack: &Ack) -> bool {
         let reading = self.reading(now);
         let Some(host) = self.hosts.get_mut(name) else {
             return false;
         };
         let was_live = host.liveness.is_live(reading);
-        if host.heartbeat.incarnation != incarnation {
+        if host.heartbeat.incarnation != ack.incarnation {
             // The known one has ended. What has started in its place writes its own heartbeat.
             host.liveness.end(now);
             return was_live;
         }
-        if !host.liveness.record_ack(now, number) {
+        let Some(probed_at) = host.liveness.fresh_probe(now, ack) else {
             return false;
-        }
+        };
+        host.liveness.record_ack(now, ack, probed_at);
         host.received_at = Some(now);
-        let is_stop = host.heartbeat.serving && !serving;
-        host.heartbeat.serving &= serving;
+        let is_stop = host.heartbeat.serving && !ack.serving;
+        host.heartbeat.serving &= ack.serving;
         is_stop || !was_live
     }
 
--- a/src/shell/gateway/datagrams/liveness.rs
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -7,9 +7,12 @@
     send,
     send_to, //
 };
-use crate::shell::gateway::{
-    Gateway,
-    log::Event, //
+use crate::{
+    core::gateway::hosts::Ack,
+    shell::gateway::{
+        Gateway,
+        log::Event, //
+    },
 };
 
 /// Probes the hosts whose last heartbeat or answer isn't young, and logs which hosts began or ceased to count as live.
@@ -33,22 +36,17 @@
 
 /// Answers a probe of another host.
 pub(super) fn answer(gateway: &Gateway, from: SocketAddr, number: u64) {
-    let message = Message::Ack {
+    let ack = Ack {
         number,
         incarnation: gateway.store.incarnation(),
         serving: gateway.schedule().is_none(),
+        uptime_ms: gateway.now().as_ms(),
     };
-    send_to(gateway, from, &message);
+    send_to(gateway, from, &Message::Ack(ack));
 }
 
 /// Records the answer of a host.
-pub(super) fn record(
-    gateway: &Gateway,
-    from: SocketAddr,
-    number: u64,
-    incarnation: u64,
-    serving: bool,
-) {
+pub(super) fn record(gateway: &Gateway, from: SocketAddr, ack: &Ack) {
     let now = gateway.now();
     let mut hosts = gateway.hosts.borrow_mut();
     let Some(name) = hosts
@@ -57,13 +55,13 @@
     else {
         return;
     };
-    let is_change = hosts.record_ack(now, &name, number, incarnation, serving);
+    let is_change = hosts.record_ack(now, &name, ack);
     drop(hosts);
     if is_change {
         gateway.overview.take();
         gateway.log.write(&Event::Host {
             name: &name,
-            serving,
+            serving: ack.serving,
         });
     }
 }
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -27,7 +27,10 @@
         Reply,
         Report, //
     },
-    hosts::Heartbeat,
+    hosts::{
+        self,
+        Heartbeat, //
+    },
     limits,
     mac::MAC_BYTES,
     quarantine, //
@@ -73,12 +76,8 @@
     Probe {
         number: u64,
     },
-    /// The answer, with the incarnation of the host and whether it serves callers.
-    Ack {
-        number: u64,
-        incarnation: u64,
-        serving: bool,
-    },
+    /// The answer.
+    Ack(hosts::Ack),
 }
 
 /// State of the exchange of datagrams.
@@ -181,11 +180,7 @@
         // A message of another version is ignored, as if it were lost.
         match postcard::from_bytes(content) {
             Ok(Message::Probe { number }) => liveness::answer(&gateway, from, number),
-            Ok(Message::Ack {
-                number,
-                incarnation,
-                serving,
-            }) => liveness::record(&gateway, from, number, incarnation, serving),
+            Ok(Message::Ack(ack)) => liveness::record(&gateway, from, &ack),
             // The others are of no use after their senders have ended.
             Ok(_) if !is_host => {}
             Ok(Message::Placements(placements)) => placements::record(&gateway, &placements),
--- a/src/shell/gateway/store/heartbeats.rs
+++ b/src/shell/gateway/store/heartbeats.rs
@@ -175,6 +175,7 @@
         region: gateway.identity.region.clone(),
         incarnation: state.incarnation.get(),
         sequence,
+        uptime_ms: gateway.now().as_ms(),
         serving: gateway.schedule().is_none(),
         config_version: gateway.config().map(|config| config.version),
         key: gateway.key.get().cloned(),
