Have a host answer before its first heartbeat has it count as live

What callers saw: lookups name a host that has been gone for long, again.

Cause: the first heartbeat of a start counted as news of this moment.

Why it works: a datagram to a host that has ended isn't answered, and the answer repeats the number of a fresh probe. A host that lives answers within a tick and a round trip.

The table's tests have the hosts that they assume to be live answer once; record_late_heartbeat has the restarted host do so.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -124,14 +124,21 @@
 
 impl Liveness {
     /// The liveness of a host of whose start this is the first heartbeat.
+    ///
+    /// Nothing tells how old that is. So the host has to answer a probe before it counts as live, if it can be probed.
     pub(super) fn first(now: Instant, heartbeat: &Heartbeat) -> Self {
         let mut clock = PeerClock::default();
         clock.observe(now, heartbeat.uptime_ms);
+        let can_answer = heartbeat.key.is_some();
+        let doubt = can_answer.then(|| Doubt {
+            heard_at: Some(now),
+            ..Doubt::new(now, false)
+        });
         Self {
             evidence: Evidence::Heartbeat,
             alive_at: Some(now),
             clock,
-            doubt: None,
+            doubt,
         }
     }
 
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -367,6 +367,10 @@
         for host in hosts {
             table.record_prompt(at(0), keyed(host, 1), false);
         }
+        // All of them answered once.
+        for probe in table.probes(at(0), &"own".into()) {
+            table.record_ack(at(0), &probe.heartbeat.host, &ack(0, probe.number));
+        }
         table.read(at(0));
         Self {
             table,
@@ -526,6 +530,12 @@
         ..keyed("a", 1)
     };
     assert!(table.record_prompt(at(2_000), restarted.clone(), false));
+    let probe = &table.probes(at(2_000), &"own".into())[0];
+    let answer = Ack {
+        incarnation: 2,
+        ..ack(2_000, probe.number)
+    };
+    assert!(table.record_ack(at(2_000), &"a".into(), &answer));
     assert!(!table.record_prompt(at(3_000), keyed("a", 10), false));
     let known = table
         .live(at(3_001))
@@ -655,6 +665,27 @@
     }
 }
 
+/// The same where the late heartbeat is the first one of its last start.
+#[test]
+fn record_late_heartbeat_of_unknown_start() {
+    let mut hosts = Ticking::new(&["ended"], &[]);
+    for end_ms in (100..16_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        if end_ms == 9_000 {
+            let restarted = Heartbeat {
+                incarnation: 2,
+                ..sent("ended", 1, 0)
+            };
+            hosts.table.record(at(end_ms), restarted, false);
+            hosts.table.record(at(end_ms), sent("unknown", 1, 0), false);
+        }
+        if end_ms >= HEARTBEAT_TIMEOUT_MS {
+            assert_eq!(hosts.live(), ["own"], "at {end_ms} ms");
+        }
+    }
+}
+
 /// A heartbeat is as old as its sender's clock tells, which runs apart from this one's, and was slow to arrive at first.
 #[test]
 fn record_heartbeats_of_drifting_clock() {
