Check the number of an answer from another start of a host

What callers saw: a host that runs isn't named for up to half a second. Seen in the test only.

Cause: an answer of another start than the known one had the known one count as ended, whatever probe it answered. One that was held up on its way since before a restart, or that nobody asked for, did so too.

Change: such an answer counts only if it repeats the number of a fresh probe, as other answers do. The probe was sent after the known start was heard of, so that what answers it runs in its place.

--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -367,14 +367,14 @@
             return false;
         };
         let was_live = host.liveness.is_live(reading);
+        let Some(probed_at) = host.liveness.fresh_probe(now, ack) else {
+            return false;
+        };
         if host.heartbeat.incarnation != ack.incarnation {
             // The known one has ended. What has started in its place writes its own heartbeat.
             host.liveness.end(now);
             return was_live;
         }
-        let Some(probed_at) = host.liveness.fresh_probe(now, ack) else {
-            return false;
-        };
         host.liveness.record_ack(now, ack, probed_at);
         host.received_at = Some(now);
         let is_stop = host.heartbeat.serving && !ack.serving;
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -629,6 +629,19 @@
     assert_eq!(live(&hosts.table, 5_004), ["a", "own"]);
 }
 
+/// An answer of a former start was held up: the host that runs was taken for dead.
+#[test]
+fn record_ack_of_former_start() {
+    let mut hosts = Ticking::new(&["a"], &["a"]);
+    hosts.tick_until(3_000);
+    let former = Ack {
+        incarnation: 0,
+        ..ack(900, 1)
+    };
+    hosts.table.record_ack(at(3_000), &"a".into(), &former);
+    assert_eq!(hosts.live(), ["a", "own"]);
+}
+
 /// A host that stops in an outage can't announce it in the store.
 #[test]
 fn record_ack_of_stopping_host() {
