Let a host's answer tell which of its starts runs

What callers saw: after a cut has healed, one host no longer names another one that runs, until that one restarts.

Cause: a heartbeat of an unknown start counted as that of a restart, and the known start as ended, whose heartbeats are ignored from then on. A host that starts twice behind a cut leaves such a heartbeat of the start between, which is executed late.

Evidence: record_late_heartbeat_of_former_start and record_late_heartbeat_of_former_start_of_resumed_host failed before, the second one at 10,500 ms, after a heartbeat of the start that runs.

Change: while the known start counts as live, a heartbeat of another one raises a doubt and is kept aside. The answer to a new probe names the start that runs; the other one has ended. A start that was taken for ended and answers is taken for it no longer.

Why it works: only what runs answers a probe that was sent after both heartbeats. Without answers the known start ceases to count as live, no later than by its last heartbeat, and the other one has to show that it lives, as before.

Tests: the two named above, and record_heartbeat_of_restarted_host, which held before.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -238,6 +238,15 @@
         }
     }
 
+    /// Raises a doubt which incarnation of a live host is running. Only answers to new probes tell.
+    pub(super) fn doubt_incarnation(&mut self, now: Instant) {
+        let limit = self.alive_at.map(|at| at.after_ms(HEARTBEAT_TIMEOUT_MS));
+        self.doubt = Some(Doubt {
+            limit,
+            ..Doubt::new(now, true)
+        });
+    }
+
     /// Returns whether the host is to be probed now.
     pub(super) fn is_probe_due(&self, now: Instant) -> bool {
         let Some(doubt) = &self.doubt else {
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -135,6 +135,32 @@
     liveness: Liveness,
     // Incarnations that have ended.
     former: Vec<u64>,
+    // Heartbeat of another incarnation, while the known one counts as live. An answer tells which of them runs.
+    claim: Option<Heartbeat>,
+}
+
+impl Host {
+    /// Takes another incarnation than the known one for the one that runs.
+    fn replace(&mut self, now: Instant, heartbeat: Heartbeat, liveness: Liveness) {
+        self.end(self.heartbeat.incarnation);
+        self.received_at = Some(now);
+        self.liveness = liveness;
+        self.heartbeat = heartbeat;
+        self.claim = None;
+    }
+
+    /// Records that an incarnation has ended.
+    fn end(&mut self, incarnation: u64) {
+        self.former.insert(0, incarnation);
+        self.former.truncate(MAX_FORMER);
+    }
+
+    /// Records that an incarnation answers that isn't known or was taken for ended, so that the known one isn't running.
+    fn record_unknown(&mut self, now: Instant, incarnation: u64) {
+        self.liveness.end(now);
+        self.former.retain(|&it| it != incarnation);
+        self.claim = None;
+    }
 }
 
 /// A probe of a host: it answers if it is alive.
@@ -232,23 +258,28 @@
             }
             return false;
         }
+        let (name, address) = (heartbeat.host.clone(), heartbeat.datagram_address);
+        let is_change = known.serving != heartbeat.serving;
         if known.incarnation == heartbeat.incarnation {
             if !is_old {
                 host.liveness.record_heartbeat(reading, &heartbeat);
             }
+            host.received_at = Some(now);
+            host.heartbeat = heartbeat;
+        } else if is_old {
+            host.replace(now, heartbeat, Liveness::restarted(now));
+        } else if heartbeat.key.is_some() && host.liveness.is_live(reading) {
+            let claimed = host.claim.as_ref().map(|claim| claim.incarnation);
+            if claimed != Some(heartbeat.incarnation) {
+                host.liveness.doubt_incarnation(now);
+            }
+            host.claim = Some(heartbeat);
+            self.by_datagram_address.insert(address, name);
+            return false;
         } else {
-            host.former.insert(0, known.incarnation);
-            host.former.truncate(MAX_FORMER);
-            host.liveness = if is_old {
-                Liveness::restarted(now)
-            } else {
-                Liveness::first(now, &heartbeat)
-            };
+            let liveness = Liveness::first(now, &heartbeat);
+            host.replace(now, heartbeat, liveness);
         }
-        let is_change = host.heartbeat.serving != heartbeat.serving;
-        host.received_at = Some(now);
-        let (name, address) = (heartbeat.host.clone(), heartbeat.datagram_address);
-        host.heartbeat = heartbeat;
         self.by_datagram_address.insert(address, name);
         is_change
     }
@@ -262,6 +293,7 @@
             received_at,
             liveness,
             former: Vec::new(),
+            claim: None,
         };
         self.hosts.insert(name, host);
     }
@@ -331,7 +363,7 @@
                 self.last_probe += 1;
                 liveness.record_probe(now, self.last_probe);
                 probes.push(Probe {
-                    heartbeat: host.heartbeat.clone(),
+                    heartbeat: host.claim.as_ref().unwrap_or(&host.heartbeat).clone(),
                     number: self.last_probe,
                 });
             }
@@ -367,19 +399,29 @@
             return false;
         };
         let was_live = host.liveness.is_live(reading);
+        let was_serving = host.heartbeat.serving;
         let Some(probed_at) = host.liveness.fresh_probe(now, ack) else {
             return false;
         };
+        match host.claim.take() {
+            Some(claim) if claim.incarnation == ack.incarnation => {
+                let liveness = Liveness::first(now, &claim);
+                host.replace(now, claim, liveness);
+            }
+            Some(claim) if host.heartbeat.incarnation == ack.incarnation => {
+                host.end(claim.incarnation);
+            }
+            _ => {}
+        }
         if host.heartbeat.incarnation != ack.incarnation {
-            // The known one has ended. What has started in its place writes its own heartbeat.
-            host.liveness.end(now);
+            // What runs writes its own heartbeat.
+            host.record_unknown(now, ack.incarnation);
             return was_live;
         }
         host.liveness.record_ack(now, ack, probed_at);
         host.received_at = Some(now);
-        let is_stop = host.heartbeat.serving && !ack.serving;
         host.heartbeat.serving &= ack.serving;
-        is_stop || !was_live
+        host.heartbeat.serving != was_serving || !was_live
     }
 
     /// Records a heartbeat of a copy from which the store has returned. It must not make a host younger or
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -642,6 +642,84 @@
     assert_eq!(hosts.live(), ["a", "own"]);
 }
 
+/// The heartbeat of a former start that was never seen was held up: it passed for that of a restarted host, whose own
+/// heartbeats were ignored from then on.
+#[test]
+fn record_late_heartbeat_of_former_start() {
+    let mut hosts = Ticking::new(&["a"], &["a"]);
+    for end_ms in (100..30_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        if end_ms == 9_000 {
+            let former = Heartbeat {
+                incarnation: 0,
+                ..sent("a", 3, 4_000)
+            };
+            hosts.table.record(at(end_ms), former, false);
+        }
+        if end_ms % 1_300 == 0 {
+            hosts
+                .table
+                .record_prompt(at(end_ms), keyed("a", end_ms), false);
+        }
+        assert_eq!(hosts.live(), ["a", "own"], "at {end_ms} ms");
+        let known = hosts.table.live(at(end_ms)).next();
+        assert_eq!(known.map(|host| host.heartbeat.incarnation), Some(1));
+    }
+}
+
+/// The same where the host's last word was too old to count when the late heartbeat arrived.
+#[test]
+fn record_late_heartbeat_of_former_start_of_resumed_host() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    hosts.tick_until(9_000);
+    hosts.table.read(at(9_000));
+    let former = Heartbeat {
+        incarnation: 0,
+        ..sent("a", 3, 4_000)
+    };
+    hosts.table.record(at(9_000), former, false);
+    hosts.answering = vec!["a"];
+    for end_ms in (9_100..20_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        if end_ms % 1_300 == 0 {
+            hosts
+                .table
+                .record_prompt(at(end_ms), keyed("a", end_ms), false);
+        }
+        let is_live = hosts.live() == ["a", "own"];
+        assert!(is_live || end_ms < 9_100 + 1_300 + 100, "at {end_ms} ms");
+    }
+}
+
+/// A host that has restarted is known by its new start as soon as it answers.
+#[test]
+fn record_heartbeat_of_restarted_host() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    hosts.tick_until(1_000);
+    let restarted = |sequence| Heartbeat {
+        incarnation: 2,
+        ..sent("a", sequence, 10 * sequence)
+    };
+    hosts.table.record(at(1_000), restarted(1), false);
+    for (end_ms, number) in [(1_100, 1), (1_200, 1)] {
+        hosts.now_ms = end_ms;
+        let probes = hosts.table.probes(at(end_ms), &"own".into());
+        assert_eq!(probes.len(), number * usize::from(end_ms == 1_100));
+        for probe in probes {
+            let answer = Ack {
+                incarnation: 2,
+                ..ack(100, probe.number)
+            };
+            hosts.table.record_ack(at(end_ms), &"a".into(), &answer);
+        }
+        let known = hosts.table.live(at(end_ms)).next();
+        assert_eq!(known.map(|host| host.heartbeat.incarnation), Some(2));
+    }
+    assert!(!hosts.table.is_news(&keyed("a", 99)), "it has ended");
+}
+
 /// A host that stops in an outage can't announce it in the store.
 #[test]
 fn record_ack_of_stopping_host() {
