Probe a host through another one if it doesn't answer

What callers saw: in an outage of the store, a host that others can't reach isn't named to callers, who could.

Cause: while nobody can write heartbeats, only answers to a host's own probes show that another one lives.

Evidence: in the adapter test a host that answers only probes which another one passes on isn't named 3,407 ms after the store went down, on.

Change: from the second probe on, a live host that isn't in doubt, another one each time, is asked to pass the probe on, and the answer back. It repeats the number of the asker's own probe, so it counts, and ages, as an answer that came directly.

Why it works: the answer is the host's own fresh word, whoever carries it.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -263,6 +263,17 @@
         doubt.probes[0].is_none_or(|(_, at)| now.since_ms(at) >= interval_ms)
     }
 
+    /// Returns whether the host was probed and has not answered yet.
+    pub(super) fn is_probed(&self) -> bool {
+        let doubt = self.doubt.as_ref();
+        doubt.is_some_and(|doubt| doubt.probed_since.is_some())
+    }
+
+    /// Returns whether the host counts as live without a doubt.
+    pub(super) fn is_undoubted(&self, reading: Reading) -> bool {
+        self.doubt.is_none() && self.is_live(reading)
+    }
+
     /// Records a probe of the host.
     pub(super) fn record_probe(&mut self, now: Instant, number: u64) {
         if let Some(doubt) = &mut self.doubt {
--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -170,6 +170,9 @@
     pub heartbeat: Heartbeat,
     /// Number that its answer repeats.
     pub number: u64,
+    /// A live host that is asked to pass the probe on too, since the last one wasn't answered. There may be no link between
+    /// the probed host and this one.
+    pub helper: Option<Heartbeat>,
 }
 
 /// The answer of a host to a probe.
@@ -361,15 +364,38 @@
             }
             if host.heartbeat.key.is_some() && liveness.is_probe_due(now) {
                 self.last_probe += 1;
+                let is_repeated = liveness.is_probed();
                 liveness.record_probe(now, self.last_probe);
-                probes.push(Probe {
+                let probe = Probe {
                     heartbeat: host.claim.as_ref().unwrap_or(&host.heartbeat).clone(),
                     number: self.last_probe,
-                });
+                    helper: None,
+                };
+                probes.push((probe, is_repeated));
             }
             liveness.expire(reading, QUOTA_TIMEOUT_MS);
         }
-        probes
+        self.add_helpers(reading, own, probes)
+    }
+
+    /// Has other hosts help with repeated probes, each time another one.
+    fn add_helpers(&self, reading: Reading, own: &Name, probes: Vec<(Probe, bool)>) -> Vec<Probe> {
+        let mut helpers: Option<Vec<&Heartbeat>> = None;
+        let with_helper = |(probe, is_repeated): (Probe, bool)| {
+            if !is_repeated {
+                return probe;
+            }
+            let helpers = helpers.get_or_insert_with(|| {
+                let others = self.hosts.iter().filter(|(name, _)| *name != own);
+                let live = others.filter(|(_, host)| host.liveness.is_undoubted(reading));
+                live.map(|(_, host)| &host.heartbeat).collect()
+            });
+            // Numbers ascend, also from one probe of a host to the next.
+            let turn = probe.number % (helpers.len().max(1) as u64);
+            let helper = helpers.get(turn as usize).map(|&it| it.clone());
+            Probe { helper, ..probe }
+        };
+        probes.into_iter().map(with_helper).collect()
     }
 
     /// Returns the hosts that began or ceased to count as live since the last call.
@@ -501,6 +527,11 @@
         Some(now.since_ms(received_at.max(self.store_recovered_at)))
     }
 
+    /// Returns a known host, live or dead.
+    pub fn get(&self, name: &Name) -> Option<&Host> {
+        self.hosts.get(name)
+    }
+
     /// Returns the number of known hosts, live or dead.
     pub fn len(&self) -> usize {
         self.hosts.len()
--- a/src/shell/gateway/datagrams/liveness.rs
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -9,6 +9,7 @@
 };
 use crate::{
     core::gateway::hosts::Ack,
+    names::Name,
     shell::gateway::{
         Gateway,
         log::Event, //
@@ -25,6 +26,10 @@
     for probe in probes {
         let number = probe.number;
         send(gateway, &probe.heartbeat, &Message::Probe { number });
+        if let Some(helper) = &probe.helper {
+            let host = probe.heartbeat.host.clone();
+            send(gateway, helper, &Message::ProbeVia { number, host });
+        }
     }
     if !transitions.is_empty() {
         gateway.overview.take();
@@ -34,33 +39,66 @@
     }
 }
 
-/// Answers a probe of another host.
-pub(super) fn answer(gateway: &Gateway, from: SocketAddr, number: u64) {
-    let ack = Ack {
+fn ack(gateway: &Gateway, number: u64) -> Ack {
+    Ack {
         number,
         incarnation: gateway.store.incarnation(),
         serving: gateway.schedule().is_none(),
         uptime_ms: gateway.now().as_ms(),
-    };
-    send_to(gateway, from, &Message::Ack(ack));
+    }
+}
+
+/// Answers a probe of another host.
+pub(super) fn answer(gateway: &Gateway, from: SocketAddr, number: u64) {
+    send_to(gateway, from, &Message::Ack(ack(gateway, number)));
+}
+
+/// Answers a probe that a helper has passed on.
+pub(super) fn answer_for(gateway: &Gateway, helper: SocketAddr, number: u64, asker: SocketAddr) {
+    let ack = ack(gateway, number);
+    send_to(gateway, helper, &Message::AckFor { ack, asker });
+}
+
+/// Passes a probe of another host on.
+pub(super) fn pass_probe(gateway: &Gateway, asker: SocketAddr, number: u64, host: &Name) {
+    let hosts = gateway.hosts.borrow();
+    if let Some(host) = hosts.get(host) {
+        send(
+            gateway,
+            &host.heartbeat,
+            &Message::ProbeFor { number, asker },
+        );
+    }
+}
+
+/// Passes an answer on to the host that asked for it.
+pub(super) fn pass_ack(gateway: &Gateway, from: SocketAddr, ack: Ack, asker: SocketAddr) {
+    if let Some(host) = name_at(gateway, from) {
+        send_to(gateway, asker, &Message::AckVia { ack, host });
+    }
 }
 
 /// Records the answer of a host.
 pub(super) fn record(gateway: &Gateway, from: SocketAddr, ack: &Ack) {
+    if let Some(host) = name_at(gateway, from) {
+        record_of(gateway, &host, ack);
+    }
+}
+
+fn name_at(gateway: &Gateway, address: SocketAddr) -> Option<Name> {
+    let hosts = gateway.hosts.borrow();
+    let host = hosts.at_datagram_address(address);
+    host.map(|host| host.heartbeat.host.clone())
+}
+
+/// Records the answer of a host, which may have been passed on.
+pub(super) fn record_of(gateway: &Gateway, host: &Name, ack: &Ack) {
     let now = gateway.now();
-    let mut hosts = gateway.hosts.borrow_mut();
-    let Some(name) = hosts
-        .at_datagram_address(from)
-        .map(|host| host.heartbeat.host.clone())
-    else {
-        return;
-    };
-    let is_change = hosts.record_ack(now, &name, ack);
-    drop(hosts);
+    let is_change = gateway.hosts.borrow_mut().record_ack(now, host, ack);
     if is_change {
         gateway.overview.take();
         gateway.log.write(&Event::Host {
-            name: &name,
+            name: host,
             serving: ack.serving,
         });
     }
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -35,6 +35,7 @@
     mac::MAC_BYTES,
     quarantine, //
 };
+use crate::names::Name;
 
 mod assignments;
 mod liveness;
@@ -78,6 +79,26 @@
     },
     /// The answer.
     Ack(hosts::Ack),
+    /// Asks a host to pass a probe of the sender on to another host.
+    ProbeVia {
+        number: u64,
+        host: Name,
+    },
+    /// A probe that is passed on, with the address of the host that asks.
+    ProbeFor {
+        number: u64,
+        asker: SocketAddr,
+    },
+    /// The answer to it, which goes back the same way.
+    AckFor {
+        ack: hosts::Ack,
+        asker: SocketAddr,
+    },
+    /// An answer that is passed on, with the host that gave it.
+    AckVia {
+        ack: hosts::Ack,
+        host: Name,
+    },
 }
 
 /// State of the exchange of datagrams.
@@ -181,8 +202,16 @@
         match postcard::from_bytes(content) {
             Ok(Message::Probe { number }) => liveness::answer(&gateway, from, number),
             Ok(Message::Ack(ack)) => liveness::record(&gateway, from, &ack),
+            Ok(Message::ProbeFor { number, asker }) => {
+                liveness::answer_for(&gateway, from, number, asker);
+            }
             // The others are of no use after their senders have ended.
             Ok(_) if !is_host => {}
+            Ok(Message::ProbeVia { number, host }) => {
+                liveness::pass_probe(&gateway, from, number, &host);
+            }
+            Ok(Message::AckFor { ack, asker }) => liveness::pass_ack(&gateway, from, ack, asker),
+            Ok(Message::AckVia { ack, host }) => liveness::record_of(&gateway, &host, &ack),
             Ok(Message::Placements(placements)) => placements::record(&gateway, &placements),
             Ok(Message::Ask { number, ask }) => assignments::answer(&gateway, from, number, &ask),
             Ok(Message::Reply { number, reply }) => {
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -12,6 +12,7 @@
         mac::Key,
         quarantine::Report, //
     },
+    names::Name,
     time::Instant,
 };
 
@@ -356,6 +357,8 @@
     table: Table,
     now_ms: u64,
     answering: Vec<&'static str>,
+    // Hosts that answer only probes that a helper passes on.
+    unlinked: Vec<&'static str>,
     // Number of probes so far.
     asked: usize,
 }
@@ -376,6 +379,7 @@
             table,
             now_ms: 0,
             answering: answering.to_vec(),
+            unlinked: Vec::new(),
             asked: 0,
         }
     }
@@ -387,7 +391,10 @@
             for probe in self.table.probes(now, &"own".into()) {
                 self.asked += 1;
                 let host = &probe.heartbeat.host;
-                if self.answering.iter().any(|it| **it == **host) {
+                let helper = probe.helper.as_ref().map(|helper| &helper.host);
+                let answers = |host: &Name| self.answering.iter().any(|it| **it == **host);
+                let is_helped = helper.is_some_and(answers);
+                if answers(host) || is_helped && self.unlinked.iter().any(|it| **it == **host) {
                     self.table
                         .record_ack(now, host, &ack(self.now_ms, probe.number));
                 }
@@ -467,6 +474,48 @@
     assert_eq!(named.len(), 3);
 }
 
+/// Two hosts without a link to each other: each took the other one for dead in an outage, though callers reach both.
+#[test]
+fn live_host_without_link_in_outage() {
+    let mut hosts = Ticking::new(&["a", "b", "unlinked"], &["a", "b"]);
+    hosts.unlinked = vec!["unlinked"];
+    hosts.table.store_failed(at(1_000));
+    for end_ms in (1_000..60_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        assert_eq!(hosts.live().len(), 4, "at {end_ms} ms");
+    }
+}
+
+/// Helpers pass no probe on that was answered, and those of many hosts that have ended within bounds.
+#[test]
+fn probes_with_helpers() {
+    let mut hosts = Ticking::new(&["a", "b", "ended"], &["a", "b"]);
+    hosts.table.store_failed(at(1_000));
+    let mut helpers = Vec::new();
+    for now_ms in (1_100..8_000).step_by(100) {
+        for probe in hosts.table.probes(at(now_ms), &"own".into()) {
+            let name = &probe.heartbeat.host;
+            if **name == *"ended" {
+                helpers.push(probe.helper.map(|helper| helper.host.to_string()));
+            } else {
+                assert!(probe.helper.is_none(), "{name} has answered");
+                let answer = ack(now_ms, probe.number);
+                hosts.table.record_ack(at(now_ms), name, &answer);
+            }
+        }
+    }
+    assert_eq!(helpers[0], None, "the first one");
+    let by = |helper: &str| {
+        helpers
+            .iter()
+            .flatten()
+            .filter(|it| **it == *helper)
+            .count()
+    };
+    assert!(by("a") >= 2 && by("b") >= 2, "{helpers:?}");
+    assert!(helpers.len() < 10);
+}
+
 /// Other hosts keep their parts of shared limits while nobody can tell whether they run.
 #[test]
 fn quota_group_unanswered_in_outage() {
