Let no heartbeat from before a host's stop have it named again

What callers saw: a host that stops is named again. Seen in the test only.

Cause: in an outage a host says in its answers that it stops. A heartbeat that it wrote before, and that arrives after, replaced what was known, with its statement that the host serves.

Evidence: record_heartbeat_from_before_stop failed before.

Change: within an incarnation a host that doesn't serve any more never serves again, so a heartbeat can only take the statement back.

--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -241,7 +241,7 @@
     /// A call to the store without an answer may be executed at any later time. So a heartbeat counts only if it is
     /// newer than the last one by the host's own numbers, is as old as the host's clock tells, and doesn't bring back a
     /// host that no longer counted as live: that has to answer a probe first.
-    pub fn record(&mut self, now: Instant, heartbeat: Heartbeat, is_old: bool) -> bool {
+    pub fn record(&mut self, now: Instant, mut heartbeat: Heartbeat, is_old: bool) -> bool {
         let reading = self.reading(now);
         let is_news = self.is_news(&heartbeat);
         let Some(host) = self.hosts.get_mut(&heartbeat.host) else {
@@ -262,6 +262,10 @@
             return false;
         }
         let (name, address) = (heartbeat.host.clone(), heartbeat.datagram_address);
+        if known.incarnation == heartbeat.incarnation {
+            // It may have said since that it stops, by other means.
+            heartbeat.serving &= known.serving;
+        }
         let is_change = known.serving != heartbeat.serving;
         if known.incarnation == heartbeat.incarnation {
             if !is_old {
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -862,6 +862,25 @@
     }
 }
 
+/// A host answered that it stops before its heartbeat from before that arrived, which had it named again.
+#[test]
+fn record_heartbeat_from_before_stop() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    hosts.tick_until(3_700);
+    let probe = hosts.table.probes(at(4_200), &"own".into());
+    let stopping = Ack {
+        serving: false,
+        ..ack(4_200, probe[0].number)
+    };
+    assert!(hosts.table.record_ack(at(4_200), &"a".into(), &stopping));
+    for (now_ms, sent_ms) in [(4_300, 4_100), (9_000, 4_150)] {
+        let heartbeat = sent("a", now_ms, sent_ms);
+        hosts.table.record(at(now_ms), heartbeat, false);
+        let named = lookup::addresses(at(now_ms), &hosts.table, "r", "r");
+        assert!(!named.contains(&keyed("a", 1).caller_address));
+    }
+}
+
 /// This process was paused: nothing tells yet which hosts have ended meanwhile.
 #[test]
 fn live_after_pause_of_this_process() {
