Tell other hosts by datagram when a host stops

What callers saw: in an outage of the store they get the address of a host that is stopping for up to 2.6 s after its SIGTERM, and connect when it has ended.

Cause: a host announces its stop in the store only. In an outage others learn of it with their next probe. It accepts connections for 2.5 s, which covers answers of lookups from before the stop, and not those after.

Change: at SIGTERM it also tells all live hosts by datagram, with the incarnation that stops.

Why it works: the message comes from the host itself and needs no store. Where it is lost, answers and the heartbeat tell, as before.

--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -454,6 +454,20 @@
         host.heartbeat.serving != was_serving || !was_live
     }
 
+    /// Records that a host said that one of its incarnations stops. Returns whether that is news.
+    pub fn record_stop(&mut self, name: &Name, incarnation: u64) -> bool {
+        let Some(host) = self.hosts.get_mut(name) else {
+            return false;
+        };
+        let claim = host.claim.as_mut();
+        let mut heartbeats = std::iter::once(&mut host.heartbeat).chain(claim);
+        let stopping = heartbeats.find(|it| it.incarnation == incarnation && it.serving);
+        stopping.is_some_and(|heartbeat| {
+            heartbeat.serving = false;
+            true
+        })
+    }
+
     /// Records a heartbeat of a copy from which the store has returned. It must not make a host younger or
     /// bring back a former incarnation, and live hosts write their next one within seconds.
     pub fn restore(&mut self, now: Instant, heartbeat: Heartbeat) -> bool {
--- a/src/shell/gateway/datagrams/liveness.rs
+++ b/src/shell/gateway/datagrams/liveness.rs
@@ -5,7 +5,8 @@
 use super::{
     Message,
     send,
-    send_to, //
+    send_to,
+    send_to_all, //
 };
 use crate::{
     core::gateway::hosts::Ack,
@@ -103,3 +104,24 @@
         });
     }
 }
+
+/// Tells all hosts that this one stops. Its answers and its heartbeat say so to those that don't receive this.
+pub(in crate::shell::gateway) fn announce_stop(gateway: &Gateway) {
+    let incarnation = gateway.store.incarnation();
+    send_to_all(gateway, &Message::Stop { incarnation });
+}
+
+/// Records that a host stops.
+pub(super) fn record_stop(gateway: &Gateway, from: SocketAddr, incarnation: u64) {
+    let Some(name) = name_at(gateway, from) else {
+        return;
+    };
+    let is_news = gateway.hosts.borrow_mut().record_stop(&name, incarnation);
+    if is_news {
+        gateway.overview.take();
+        gateway.log.write(&Event::Host {
+            name: &name,
+            serving: false,
+        });
+    }
+}
--- a/src/shell/gateway/datagrams/mod.rs
+++ b/src/shell/gateway/datagrams/mod.rs
@@ -46,7 +46,10 @@
     Lease,
     ask, //
 };
-pub(super) use liveness::probe as probe_hosts;
+pub(super) use liveness::{
+    announce_stop,
+    probe as probe_hosts, //
+};
 use placements::Placement;
 pub(super) use placements::record_placement;
 
@@ -99,6 +102,10 @@
         ack: hosts::Ack,
         host: Name,
     },
+    /// Tells that the sender stops.
+    Stop {
+        incarnation: u64,
+    },
 }
 
 /// State of the exchange of datagrams.
@@ -205,6 +212,9 @@
             Ok(Message::ProbeFor { number, asker }) => {
                 liveness::answer_for(&gateway, from, number, asker);
             }
+            Ok(Message::Stop { incarnation }) => {
+                liveness::record_stop(&gateway, from, incarnation);
+            }
             // The others are of no use after their senders have ended.
             Ok(_) if !is_host => {}
             Ok(Message::ProbeVia { number, host }) => {
--- a/src/shell/gateway/mod.rs
+++ b/src/shell/gateway/mod.rs
@@ -381,6 +381,7 @@
         running,
         undelivered: gateway.callers.undelivered(),
     });
+    datagrams::announce_stop(gateway);
     store::announce_leave(gateway).await;
     gateway.draining.send_replace(true);
     while gateway.now() < schedule.exit_at() {
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -862,6 +862,38 @@
     }
 }
 
+/// Only the start that says that it stops is meant.
+#[test]
+fn record_stop_of_one_start() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    let name = "a".into();
+    let named = |hosts: &Ticking| lookup::addresses(at(1), &hosts.table, "r", "r").len();
+    assert!(!hosts.table.record_stop(&name, 0));
+    assert!(!hosts.table.record_stop(&"unknown".into(), 1));
+    assert_eq!(named(&hosts), 2);
+    assert!(hosts.table.record_stop(&name, 1));
+    assert!(!hosts.table.record_stop(&name, 1), "no news");
+    assert_eq!(named(&hosts), 1);
+}
+
+/// A host that stops in an outage still names those that answer it, and nobody if none does. It isn't named itself.
+#[test]
+fn addresses_of_stopping_host_in_outage() {
+    let mut hosts = Ticking::new(&["a", "b"], &["a"]);
+    hosts.table.store_failed(at(1_000));
+    let stopping = Heartbeat {
+        serving: false,
+        ..keyed("own", 2)
+    };
+    hosts.table.record_own(at(2_000), stopping);
+    hosts.tick_until(10_000);
+    let named = lookup::addresses(at(10_000), &hosts.table, "r", "r");
+    assert_eq!(named, [keyed("a", 1).caller_address]);
+    hosts.answering.clear();
+    hosts.tick_until(20_000);
+    assert!(lookup::addresses(at(20_000), &hosts.table, "r", "r").is_empty());
+}
+
 /// A host answered that it stops before its heartbeat from before that arrived, which had it named again.
 #[test]
 fn record_heartbeat_from_before_stop() {
