Test the sum of shared limits while hosts join and leave at 295

quota_group_sums_while_hosts_join_and_leave: 20 of 295 hosts end and 20 others start in an outage, and each host reads of that at another time. The sum of all parts stays within the limit and the rule's slack, and equals the limit once hosts that have ended no longer count.

--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -527,6 +527,76 @@
     assert_eq!(hosts.table.silent(at(30_000)).count(), 2, "they may run");
 }
 
+/// 295 hosts share limits while 20 of them end and 20 others start in an outage, and after it, when each host reads of
+/// that at another time. What all may send together stays within the limit and the rule's slack.
+#[test]
+fn quota_group_sums_while_hosts_join_and_leave() {
+    const TOTAL: u64 = 33;
+    const SLACK: u64 = 5;
+    const JOINED_MS: u64 = 5_000;
+    const RECOVERED_MS: u64 = 40_000;
+    let names: Vec<Name> = (0..315)
+        .map(|index| format!("host-{index}").into())
+        .collect();
+    let (ended, running) = names.split_at(20);
+    let old = &names[..295];
+    let has_joined = |name: &Name| !old.contains(name);
+    // The clock of a host starts with it.
+    let clock = |name: &Name, ms: u64| at(if has_joined(name) { ms - JOINED_MS } else { ms });
+    let mut tables: Vec<Table> = Vec::new();
+    for own in running {
+        let mut table = Table::default();
+        table.record_own(at(0), keyed(own, 1));
+        for other in old.iter().filter(|other| *other != own) {
+            if !has_joined(own) {
+                table.record(at(0), keyed(other, 1), false);
+            } else if !ended.contains(other) {
+                // Hosts that answer another one, which passes them on.
+                table.record_relayed(at(0), heartbeat(other, "r", 1));
+            }
+        }
+        if !has_joined(own) {
+            table.read(at(0));
+        }
+        table.store_failed(at(1_000));
+        tables.push(table);
+    }
+    let servers = ["i-1", "i-2", "i-3"];
+    let mut sums_after = Vec::new();
+    for ms in [
+        6_000, 20_000, 39_000, 40_000, 41_000, 42_000, 45_000, 51_000, 54_000, 60_000,
+    ] {
+        for (index, (own, table)) in running.iter().zip(&mut tables).enumerate() {
+            let read_ms = RECOVERED_MS + 100 * (index as u64 % 24);
+            if !(read_ms..read_ms + 1_000).contains(&ms) && ms < 45_000 {
+                continue;
+            }
+            let now = clock(own, ms);
+            for other in names.iter().filter(|other| *other != own) {
+                let is_last = ended.contains(other);
+                if is_last && !has_joined(own) {
+                    continue;
+                }
+                let sequence = if is_last { 1 } else { ms };
+                table.record(now, keyed(other, sequence), is_last);
+            }
+            table.store_recovered(now);
+            table.read(now);
+        }
+        for server in servers {
+            let shares = running.iter().zip(&tables).map(|(own, table)| {
+                let group = table.quota_group(clock(own, ms), own);
+                group.share(TOTAL, server)
+            });
+            let sum: u64 = shares.sum();
+            assert!(sum <= TOTAL + SLACK, "{sum} of {TOTAL} at {ms} ms");
+            sums_after.push(sum);
+        }
+    }
+    // Once the hosts that have ended no longer count, all of the limit is used.
+    assert!(sums_after.ends_with(&[TOTAL; 3]), "{sums_after:?}");
+}
+
 /// A host that starts in an outage knows the others from a third one, without their keys. It can't probe them.
 #[test]
 fn live_relayed_in_outage() {
