Test the ages of answers and of late heartbeats that are far apart

Mutations of the new code that no test caught: the age of an answer from its arrival, a second late heartbeat as a sign of life, and a start that has ended and claims to run again. Each fails one of these tests now.

--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -776,6 +776,13 @@
             };
             hosts.table.record(at(end_ms), former, false);
         }
+        if end_ms > 9_100 {
+            let former = Heartbeat {
+                incarnation: 0,
+                ..keyed("a", 4)
+            };
+            assert!(!hosts.table.is_news(&former), "it has ended");
+        }
         if end_ms % 1_300 == 0 {
             hosts
                 .table
@@ -896,6 +903,36 @@
     }
 }
 
+/// Two late heartbeats, executed as far apart as a live host writes them, are no sign of life either.
+#[test]
+fn record_late_heartbeats_far_apart() {
+    let mut hosts = Ticking::new(&["ended"], &[]);
+    for end_ms in (100..20_000).step_by(100) {
+        hosts.tick_until(end_ms);
+        hosts.table.read(at(end_ms));
+        if end_ms == 9_000 || end_ms == 12_000 {
+            let heartbeat = sent("ended", end_ms, end_ms - 8_500);
+            hosts.table.record(at(end_ms), heartbeat, false);
+        }
+        if end_ms >= HEARTBEAT_TIMEOUT_MS {
+            assert_eq!(hosts.live(), ["own"], "at {end_ms} ms");
+        }
+    }
+}
+
+/// An answer is as old as the probe: the host may have ended just after that.
+#[test]
+fn record_ack_counts_from_probe() {
+    let mut hosts = Ticking::new(&["a"], &[]);
+    hosts.table.store_failed(at(100));
+    let own = "own".into();
+    let probe = &hosts.table.probes(at(2_600), &own)[0];
+    let answer = ack(2_700, probe.number);
+    assert!(!hosts.table.record_ack(at(3_500), &"a".into(), &answer));
+    assert!(hosts.table.probes(at(5_199), &own).is_empty());
+    assert_eq!(hosts.table.probes(at(5_200), &own).len(), 1);
+}
+
 /// A heartbeat is as old as its sender's clock tells, which runs apart from this one's, and was slow to arrive at first.
 #[test]
 fn record_heartbeats_of_drifting_clock() {
