--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -910,9 +910,11 @@
     for end_ms in (100..20_000).step_by(100) {
         hosts.tick_until(end_ms);
         hosts.table.read(at(end_ms));
-        if end_ms == 9_000 || end_ms == 12_000 {
-            let heartbeat = sent("ended", end_ms, end_ms - 8_500);
-            hosts.table.record(at(end_ms), heartbeat, false);
+        for (received_ms, sent_ms) in [(9_000, 7_000), (11_700, 7_900)] {
+            if end_ms == received_ms {
+                let heartbeat = sent("ended", end_ms, sent_ms);
+                hosts.table.record(at(end_ms), heartbeat, false);
+            }
         }
         if end_ms >= HEARTBEAT_TIMEOUT_MS {
             assert_eq!(hosts.live(), ["own"], "at {end_ms} ms");
