Count a heartbeat that took no longer than usual from its arrival

What callers saw: nothing yet.

Cause, suspected: since each heartbeat counted from when it was sent. Beliefs were older by the usual delay of up to 1.6 s, so that hosts which were frozen for 1.5 s dropped others, and were dropped, for a moment, and their dispatchers were replaced too early.

Change: a heartbeat counts from when it was sent only if it took over 1.6 s more than the fastest ones. A host that is overdue has 0.6 s to answer also where this process was late to ask.

Why it works: with the timeout, a host that has ended is named for 5.8 s after its last heartbeat at the most, below the 7 s of the rule, and live hosts keep the slack that they had.

--- a/src/core/gateway/hosts/liveness.rs
+++ b/src/core/gateway/hosts/liveness.rs
@@ -1,8 +1,8 @@
 //! Whether a host is alive, by its own heartbeats and answers.
 //!
-//! Only these make the belief that it is alive young: its heartbeat, which is as old as its sender's clock tells, or its answer to
-//! a probe, which is as old as the probe. When a heartbeat arrives tells nothing: it may be read late, and a call that a
-//! writer has lost may be executed at any time. A host whose last word isn't young is in doubt until it has answered.
+//! Only these make the belief that it is alive young: its heartbeat, which is as old as its sender's clock tells unless it took
+//! no longer than usual, or its answer to a probe, which is as old as the probe. A heartbeat may be read late, and a call that
+//! a writer has lost may be executed at any time. A host whose last word isn't young is in doubt until it has answered.
 
 use super::{
     Ack,
@@ -37,6 +37,11 @@
 /// heartbeats, the second of which took a second more than usual. It has the rest of the timeout to answer.
 const OVERDUE_MS: u64 = 2 * super::HEARTBEAT_INTERVAL_MS + 1_000;
 
+/// Delay of a heartbeat up to which it counts from its arrival, beyond that of the fastest ones, in milliseconds: the time for
+/// which its writer gathers heartbeats, and the interval of reads. With the timeout it is well below the 7 s for which
+/// lookups may name a host that has ended.
+const USUAL_DELAY_MS: u64 = 300 + super::HEARTBEAT_INTERVAL_MS;
+
 /// Time between two heartbeats that show that a host is alive although it doesn't answer, in milliseconds: two
 /// intervals. Heartbeats that lost calls left behind are executed together.
 const HEARTBEATS_APART_MS: u64 = 2 * super::HEARTBEAT_INTERVAL_MS;
@@ -194,7 +199,8 @@
         let is_live = self.is_live(reading);
         let can_answer = heartbeat.key.is_some();
         let sent_at = self.clock.observe(now, heartbeat.uptime_ms);
-        self.observe(Evidence::Heartbeat, sent_at);
+        let is_late = now.since_ms(sent_at) > USUAL_DELAY_MS;
+        self.observe(Evidence::Heartbeat, if is_late { sent_at } else { now });
         if !can_answer {
             self.doubt = None;
             return;
@@ -232,9 +238,10 @@
             return;
         }
         self.doubt_if_older(reading, OVERDUE_MS);
-        let limit = self.alive_at.map(|at| at.after_ms(HEARTBEAT_TIMEOUT_MS));
         if let Some(doubt) = &mut self.doubt {
-            doubt.limit = limit;
+            // Also where this tick is late.
+            let rest_ms = HEARTBEAT_TIMEOUT_MS - OVERDUE_MS;
+            doubt.limit = Some(reading.now.after_ms(rest_ms));
         }
     }
 
--- a/tests/core/gateway/hosts.rs
+++ b/tests/core/gateway/hosts.rs
@@ -955,6 +955,26 @@
     }
 }
 
+/// Usual delays shorten no timeout: heartbeats of a live host come up to 4.2 s apart where readers and writers add theirs.
+#[test]
+fn live_with_usual_delays() {
+    let mut table = Table::default();
+    let mut live_until = 0;
+    for (index, delay_ms) in [0, 1_600, 0, 1_600].into_iter().enumerate() {
+        let sent_ms = 2_000 * index as u64;
+        let arrived_ms = sent_ms + delay_ms;
+        assert!(live_until == 0 || live(&table, arrived_ms) == ["a"]);
+        let heartbeat = Heartbeat {
+            uptime_ms: sent_ms,
+            ..heartbeat("a", "r", 1 + index as u64)
+        };
+        table.record(at(arrived_ms), heartbeat, false);
+        live_until = arrived_ms + HEARTBEAT_TIMEOUT_MS;
+        assert_eq!(live(&table, live_until - 1), ["a"]);
+    }
+    assert!(live(&table, live_until).is_empty());
+}
+
 /// A live host whose heartbeats are slow to arrive stays live, since it answers.
 #[test]
 fn live_host_with_slow_heartbeats() {
