--- a/src/core/gateway/hosts/mod.rs
+++ b/src/core/gateway/hosts/mod.rs
@@ -239,8 +239,9 @@
     /// unknown. Returns whether the host is new or starts or stops serving.
     ///
     /// A call to the store without an answer may be executed at any later time. So a heartbeat counts only if it is
-    /// newer than the last one by the host's own numbers, is as old as the host's clock tells, and doesn't bring back a
-    /// host that no longer counted as live: that has to answer a probe first.
+    /// newer than the last one by the host's own numbers, is as old as the host's clock tells if it took long, and
+    /// doesn't bring back a host that no longer counted as live: that has to answer a probe first. While the known
+    /// incarnation counts as live, a heartbeat of another one is kept until an answer tells which of them runs.
     pub fn record(&mut self, now: Instant, mut heartbeat: Heartbeat, is_old: bool) -> bool {
         let reading = self.reading(now);
         let is_news = self.is_news(&heartbeat);
